--- /dev/null
+++ b/src/authority/confirmationsystem.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/backendmessages.h"
+#include "core/id.h"
+#include "core/time.h"
+#include "session/logposition.h"
+
+namespace Jujubekeel {
+
+struct World;
+
+/// Tells whether the group has confirmed a write or a read at the primary. Writes BackendRow::confirmation from answers
+/// on the owner's control connection. Owned by ProxyCore; runs within its step.
+class ConfirmationSystem final
+{
+public:
+    /// Asks for a barrier as soon as the control connection is free.
+    static void request(World &world, BackendId backend);
+    /// Any answer with a status on the control connection: takes over acknowledged positions.
+    void observeStatus(World &world, BackendId backend, const ServerStatus &status);
+    /// An Ok answer to a barrier that was sent at \a sentAt.
+    void observeBarrier(World &world, BackendId backend, const ServerStatus &status, TimePoint sentAt);
+    /// True if enough replicas hold the write under the term it was written in, as the policy in force demands.
+    [[nodiscard]] static bool isWriteConfirmed(const World &world, BackendId backend, LogPosition position);
+    /// True if the server was confirmed as primary of \a term by a barrier sent at or after \a since.
+    [[nodiscard]] static bool isReadConfirmed(const World &world, BackendId backend, std::uint64_t term,
+                                              TimePoint since);
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/backendrow.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/backendmessages.h"
+#include "core/id.h"
+#include "core/time.h"
+#include "session/logposition.h"
+#include "session/termhistory.h"
+
+#include <cstdint>
+
+namespace Jujubekeel {
+
+enum class OwnershipStep : std::uint8_t {
+    None,        ///< another instance owns the server, or nobody does
+    Connecting,  ///< control connection being opened
+    Locking,     ///< Lock or PreemptLock sent
+    Terminating, ///< TerminateOthers sent
+    Owned,
+    Closing, ///< no new work; the lock is released once nothing runs
+    Unlocking,
+};
+
+/// Ownership of one backend server by this instance. Written by OwnershipSystem.
+struct OwnershipState
+{
+    OwnershipStep step = OwnershipStep::None;
+    ConnectionId control;
+    TimePoint notBefore{0}; ///< next attempt
+    Duration retryDelay{0};
+    TimePoint orphanSince{0};      ///< since when no live owner has been known; 0: there is one
+    TimePoint betterSince{0};      ///< since when a better candidate has been live; 0: there is none
+    std::uint32_t preemptions = 0; ///< in a row; lengthens the pause before the next
+    TimePoint lastAnswer{0};       ///< last answer on the control connection
+    TimePoint nextPing{0};
+    // The one control request that may be under way.
+    std::uint64_t serial = 0; ///< 0: none
+    BackendOperation operation = BackendOperation::Status;
+    TimePoint sentAt{0};
+    std::uint64_t barrierPosition = 0;
+};
+
+/// What the owner has had confirmed by the group. Written by ConfirmationSystem from answers to barriers.
+struct ConfirmationState
+{
+    LogPosition confirmed;         ///< highest position acknowledged by enough replicas under the server's term
+    TimePoint barrierSentAt{0};    ///< send time of the last barrier that was answered Ok
+    std::uint64_t barrierTerm = 0; ///< term of that answer
+    bool barrierWanted = false;    ///< an execution waits; send the next barrier at once
+    TimePoint lastAcknowledged{0}; ///< last time any replica was seen to acknowledge under the server's term
+};
+
+/// What this proxy knows about one backend server, as owner from the server itself, else from the owner's heartbeats.
+struct BackendRow
+{
+    DatabaseId database;
+    // Knowledge for routing. Written by GroupMonitorSystem.
+    InstanceId owner;        ///< invalid: not known
+    TimePoint ownerHeard{0}; ///< last time the owner reported it
+    bool ownerClosing = false;
+    BackendRole role = BackendRole::Unknown;
+    LogPosition applied;
+    LogPosition received;
+    TermHistory history;
+    TimePoint statusAt{0};         ///< own clock; when applied and received were true at the latest
+    std::uint32_t queueLength = 0; ///< at the owner
+    /// Primary only: `current` was the end of the confirmed log at own time `currentAsOf` or later.
+    LogPosition current;
+    TimePoint currentAsOf{0};
+    bool leaving = false; ///< a rule says so; recomputed when the rules change
+    // Owner only.
+    OwnershipState ownership;
+    ConfirmationState confirmation;
+    std::uint32_t openConnections = 0;                   ///< work connections open or being opened
+    std::uint32_t slotsInUse = 0;                        ///< statements under way
+    Duration serviceTime = std::chrono::milliseconds(5); ///< moving average of a statement's time
+    TimePoint openNotBefore{0};                          ///< pause after a failed work connection
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/callermessages.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/resultcode.h"
+#include "core/time.h"
+#include "session/logposition.h"
+
+#include <cstdint>
+#include <string>
+
+/// Messages between a caller and its entry proxy.
+namespace Jujubekeel {
+
+enum class RequestKind : std::uint8_t { Read, Write, Begin, Commit, Rollback };
+
+/// W3C trace context: 32 and 16 hexadecimal digits.
+struct TraceContext
+{
+    std::string traceId;
+    std::string parentSpan;
+    bool sampled = false;
+};
+
+struct CallerRequest
+{
+    std::uint64_t ticket = 0; ///< chosen by the shell; unique within the process; names the request in the answer
+    std::string id;           ///< request id shown to callers and operators
+    std::string database;
+    std::string caller;    ///< identity used for fairness
+    std::string session;   ///< session id; empty for a new session
+    std::string token;     ///< session token; empty if the caller has none
+    std::string operation; ///< name matched by rules, for example "filing.create"
+    RequestKind kind = RequestKind::Read;
+    std::string statement;
+    std::string requestKey;  ///< idempotency key of the caller; empty if none
+    std::string transaction; ///< id from the answer to Begin; empty outside transactions
+    Duration timeout{0};     ///< time the caller allows from arrival
+    TraceContext trace;
+};
+
+/// Why a request went where it went. Kept for `explain` and written to logs and spans.
+struct Decision
+{
+    std::uint64_t rulesVersion = 0;
+    std::uint32_t ruleLine = 0; ///< 0: no rule applied
+    std::string requester;      ///< who asked for the rule
+    std::string rule;           ///< text of the rule
+    std::string backend;        ///< server chosen
+    std::string owner;          ///< instance that holds its connections
+    std::string reason;         ///< one sentence
+    Duration age{-1};           ///< bound on the age of the data read; negative: not known
+    std::uint32_t attempts = 0; ///< times the request was sent to an owner
+};
+
+struct CallerAnswer
+{
+    std::uint64_t ticket = 0;
+    std::string id;
+    ResultCode code = ResultCode::Ok;
+    std::string text;        ///< explanation of an error
+    std::string value;       ///< result of the statement
+    std::string session;     ///< session id
+    std::string token;       ///< session token to send with the next request
+    std::string transaction; ///< Begin: id of the transaction
+    LogPosition position;    ///< write: where it stands in the log; read: what it saw
+    bool fromReplica = false;
+    bool repeated = false; ///< the outcome of an earlier request with the same key
+    Decision decision;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/executionrow.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/backendmessages.h"
+#include "core/connectionrow.h"
+#include "core/id.h"
+#include "core/peermessages.h"
+#include "core/time.h"
+
+#include <cstdint>
+
+namespace Jujubekeel {
+
+enum class ExecutionStep : std::uint8_t {
+    Queued,     ///< waits for a slot and a connection
+    Running,    ///< sent to the backend server
+    Confirming, ///< answered; waits for the group's confirmation
+};
+
+/// A request at the owner of the backend server that executes it. Written by ExecutionSystem.
+struct ExecutionRow
+{
+    InstanceId entry; ///< who gets the ForwardAnswer; may be this instance
+    ForwardRequest forward;
+    BackendId backend;
+    TimePoint arrived{0};
+    TimePoint deadline{0};
+    ExecutionStep step = ExecutionStep::Queued;
+    ConnectionId connection;
+    TransactionId transaction;  ///< set for statements inside a transaction
+    TimePoint sentAt{0};        ///< when the statement went to the server
+    BackendAnswer answer;       ///< Confirming: what the server said
+    std::uint64_t sequence = 0; ///< order of arrival
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/fleetlayout.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/id.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jujubekeel {
+
+struct InstanceSettings
+{
+    std::string name;
+    std::string failureDomain;
+    std::string callerAddress;   ///< "ip:port"
+    std::string peerAddress;     ///< "ip:port"
+    std::string operatorAddress; ///< "ip:port"
+};
+
+struct DatabaseSettings
+{
+    std::string name;
+    std::vector<BackendId> backends;
+};
+
+struct BackendSettings
+{
+    std::string name;
+    DatabaseId database;
+    std::string failureDomain;
+    std::string address;                ///< "ip:port"
+    std::uint32_t slots = 3;            ///< statements that may execute at one time, over the whole fleet
+    std::uint32_t connectionLimit = 20; ///< open connections over the whole fleet, control connections included
+};
+
+/// Instances, databases and backend servers as the settings name them. Owned by the settings, read-only afterwards;
+/// an id's index is the place in the table.
+struct FleetLayout
+{
+    std::string user; ///< names the rule object on the platform
+    std::vector<InstanceSettings> instances;
+    std::vector<DatabaseSettings> databases;
+    std::vector<BackendSettings> backends;
+
+    /// Look-ups by name return an invalid id if there is none.
+    [[nodiscard]] InstanceId findInstance(std::string_view name) const;
+    [[nodiscard]] DatabaseId findDatabase(std::string_view name) const;
+    [[nodiscard]] BackendId findBackend(std::string_view name) const;
+
+    [[nodiscard]] const InstanceSettings &at(InstanceId id) const { return this->instances.at(id.index); }
+    [[nodiscard]] const DatabaseSettings &at(DatabaseId id) const { return this->databases.at(id.index); }
+    [[nodiscard]] const BackendSettings &at(BackendId id) const { return this->backends.at(id.index); }
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/peermessages.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/callermessages.h"
+#include "core/id.h"
+#include "core/time.h"
+#include "session/logposition.h"
+#include "session/termhistory.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Messages between proxies. Ids are those of the receiver's own settings; the CBOR forms in wire/ carry names.
+namespace Jujubekeel {
+
+/// What the owner of a backend server knows about it.
+struct BackendReport
+{
+    BackendId backend;
+    bool primary = false;
+    LogPosition applied;
+    LogPosition received;
+    TermHistory history;
+    /// Primary only: time between the moment at which `received` was known to be the end of the confirmed log and the
+    /// sending of this message. Negative: not known.
+    Duration confirmedAge{-1};
+    std::uint32_t queueLength = 0;
+    bool closing = false; ///< the owner is about to release the server
+};
+
+struct Heartbeat
+{
+    std::uint64_t incarnation = 0; ///< start of the process; tells a restarted instance from the earlier one
+    TimePoint sentAt{0};           ///< sender's clock
+    TimePoint echo{0};             ///< `sentAt` of the last heartbeat received from the receiver; 0: none yet
+    std::uint64_t rulesVersion = 0;
+    bool leaving = false;
+    std::vector<BackendReport> owned;
+};
+
+struct RulesUpdate
+{
+    std::uint64_t version = 0;
+    std::string text;
+};
+
+struct RulesQuery
+{
+    std::uint64_t haveVersion = 0;
+};
+
+struct PromotionNotice
+{
+    DatabaseId database;
+    BackendId primary;
+    TermStart start;
+};
+
+/// Asks the next best candidate to take the lock of a backend server that the sender has just released.
+struct Handover
+{
+    BackendId backend;
+};
+
+/// A request that the entry proxy sends to the owner of the chosen backend server.
+struct ForwardRequest
+{
+    std::uint64_t forward = 0; ///< chosen by the entry; names this attempt in the answer
+    BackendId backend;
+    CallerRequest request;  ///< request.timeout is the time left when this message was sent
+    LogPosition mark;       ///< the server must contain it
+    std::uint64_t term = 0; ///< writes: term of the primary as the entry knows it; 0: any
+    bool barrier = false;   ///< read at the primary: confirm afterwards that it still is the primary
+    bool notRepeatable = false;
+};
+
+struct ForwardAnswer
+{
+    std::uint64_t forward = 0;
+    ResultCode code = ResultCode::Ok;
+    std::string text;
+    std::string value;
+    std::string transaction;
+    LogPosition position;
+    TermHistory history; ///< of the server that answered
+    bool repeated = false;
+    /// Not-run answers only: the owner can tell the entry that another server is the primary now.
+    BackendId primary;
+};
+
+using PeerMessage =
+    std::variant<Heartbeat, RulesUpdate, RulesQuery, PromotionNotice, Handover, ForwardRequest, ForwardAnswer>;
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/proxycore.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "authority/confirmationsystem.h"
+#include "authority/groupmonitorsystem.h"
+#include "authority/promotionsystem.h"
+#include "core/action.h"
+#include "core/fleetlayout.h"
+#include "core/input.h"
+#include "core/proxyoptions.h"
+#include "core/world.h"
+#include "drain/drainsystem.h"
+#include "membership/membershipsystem.h"
+#include "ownership/ownershipsystem.h"
+#include "requests/executionsystem.h"
+#include "requests/requestsystem.h"
+#include "rules/ruledistributionsystem.h"
+
+#include <cstdint>
+
+namespace Jujubekeel {
+
+struct ProxyCoreOptions
+{
+    FleetLayout layout;
+    ProxyOptions proxy;
+    InstanceId self;
+    std::uint64_t incarnation = 1; ///< larger after each restart of the instance
+};
+
+/// The decisions of one proxy: takes the time and one input, appends actions. Deterministic: the same inputs give the
+/// same state and actions. Owned by the shell, which calls it from one thread at a time.
+class ProxyCore final
+{
+public:
+    explicit ProxyCore(ProxyCoreOptions options);
+
+    /// Handles one input. \a now must not be before that of the previous call.
+    void step(TimePoint now, const Input &input, Actions &actions);
+
+    [[nodiscard]] const World &world() const { return this->state; }
+    /// Hash over the state that decides future actions.
+    [[nodiscard]] std::uint64_t stateHash() const;
+
+private:
+    void dispatch(const Input &input, Actions &actions);
+    void dispatchPeer(InstanceId from, const PeerMessage &message, Actions &actions);
+    void deliverLocal(Actions &actions);
+
+    World state;
+    MembershipSystem membership;
+    RuleDistributionSystem ruleDistribution;
+    DrainSystem drain;
+    OwnershipSystem ownership;
+    GroupMonitorSystem groupMonitor;
+    PromotionSystem promotion;
+    RequestSystem requests;
+    ExecutionSystem executions;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/proxyoptions.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// Who may acknowledge a write.
+enum class AuthorityPolicy : std::uint8_t { GroupConfirmation, PlatformLease, LeaseAndConfirmation };
+
+/// Options of the decision library, one struct for each system. Every member has its unit in its type or its comment.
+struct OwnershipOptions
+{
+    Duration pingInterval = std::chrono::milliseconds(250);   ///< between pings on a control connection
+    Duration pingTimeout = std::chrono::milliseconds(600);    ///< a control connection without answer is closed
+    Duration lockTimeout = std::chrono::seconds(2);           ///< the server drops a silent control connection
+    Duration candidateDelay = std::chrono::milliseconds(300); ///< each rank waits this much longer for the lock
+    Duration handoverAfter = std::chrono::seconds(5);         ///< a better candidate must be live for this long
+    Duration preemptAfter = std::chrono::seconds(3);          ///< holder not heard by peers for this long
+    Duration retryDelay = std::chrono::milliseconds(100);     ///< first pause after a failed attempt; doubles
+    Duration maxRetryDelay = std::chrono::seconds(2);
+    std::uint32_t controlReserve = 2;             ///< connections of the limit kept for control
+    Duration idleProbe = std::chrono::seconds(5); ///< idle work connections are probed this often
+};
+
+struct AuthorityOptions
+{
+    AuthorityPolicy policy = AuthorityPolicy::GroupConfirmation;
+    Duration suspectAfter = std::chrono::milliseconds(600);       ///< no status of the primary for this long
+    Duration replicationSilence = std::chrono::milliseconds(400); ///< a replica hears nothing from the primary
+    Duration cutOffAfter = std::chrono::seconds(3);               ///< the primary answers, no replica acknowledges
+    Duration claimTimeout = std::chrono::milliseconds(400);       ///< answer of the platform to a claim
+    Duration stepTimeout = std::chrono::milliseconds(500);        ///< answer of a backend server to a promotion step
+    Duration promotionHoldOff = std::chrono::seconds(5);          ///< between two promotions of one database
+    Duration retryDelay = std::chrono::milliseconds(200);         ///< after a promotion that failed; doubles
+    Duration maxRetryDelay = std::chrono::seconds(3);
+    Duration barrierWait = std::chrono::milliseconds(150); ///< a server holds one barrier at most this long
+    Duration leaseDuration = std::chrono::seconds(4);      ///< lease policies only
+    Duration leaseRenewal = std::chrono::seconds(1);       ///< lease policies only
+    std::uint32_t promotionsShardSize = 64;                ///< databases for each promotions object
+};
+
+struct AdmissionOptions
+{
+    std::uint32_t queueLimit = 256;                    ///< waiting requests for each backend server
+    std::uint32_t callerQueueLimit = 64;               ///< waiting requests of one caller for each backend server
+    std::uint32_t retryPercent = 10;                   ///< retries for each hundred requests
+    std::uint32_t retryFloor = 10;                     ///< retries per second that are always allowed
+    Duration defaultTimeout = std::chrono::seconds(5); ///< requests that state none
+    Duration maxTimeout = std::chrono::seconds(60);
+    Duration retryPause = std::chrono::milliseconds(20); ///< before a not-run request is routed again; doubles
+    Duration maxRetryPause = std::chrono::milliseconds(200);
+};
+
+struct MembershipOptions
+{
+    Duration heartbeatInterval = std::chrono::milliseconds(250);
+    Duration peerTimeout = std::chrono::milliseconds(1500); ///< a peer not heard for this long is suspect
+    Duration listInterval = std::chrono::seconds(2);        ///< reading of the platform's instance list
+};
+
+struct RuleOptions
+{
+    std::uint32_t watchersPerDomain = 2;                  ///< instances of a failure domain that watch the rules
+    Duration watchWait = std::chrono::seconds(10);        ///< longest wait of one watch
+    Duration retryDelay = std::chrono::milliseconds(500); ///< after an unanswered call
+    Duration callTimeout = std::chrono::seconds(2);       ///< answer of the platform, beyond the wait of a watch
+};
+
+struct SessionOptions
+{
+    std::vector<std::string> tokenKeys; ///< the first signs, all verify
+    std::uint32_t cacheLimit = 20000;   ///< session marks kept by session id
+};
+
+struct DrainOptions
+{
+    Duration stopGrace = std::chrono::seconds(20);        ///< longest wait for requests in flight at a stop
+    Duration plannedChangeWait = std::chrono::seconds(3); ///< longest pause of writes in a planned change of primary
+};
+
+struct TraceOptions
+{
+    std::uint32_t samplePercent = 10;               ///< requests traced without a sampled traceparent
+    Duration slow = std::chrono::milliseconds(500); ///< slower requests are always traced
+};
+
+struct ProxyOptions
+{
+    Duration tickInterval = std::chrono::milliseconds(10);
+    OwnershipOptions ownership;
+    AuthorityOptions authority;
+    AdmissionOptions admission;
+    MembershipOptions membership;
+    RuleOptions rules;
+    SessionOptions session;
+    DrainOptions drain;
+    TraceOptions trace;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/transactionrow.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/connectionrow.h"
+#include "core/id.h"
+#include "core/time.h"
+
+#include <cstdint>
+
+namespace Jujubekeel {
+
+/// An open transaction, pinned to one connection of this owner. Written by ExecutionSystem.
+struct TransactionRow
+{
+    BackendId backend;
+    ConnectionId connection;
+    std::uint64_t number = 0; ///< sent with each statement; unique within the process
+    std::uint64_t term = 0;   ///< term of the server at Begin
+    ExecutionId running;      ///< statement under way; invalid: none
+    bool wrote = false;
+    TimePoint lastUsed{0};
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/core/world.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/backendrow.h"
+#include "core/connectionrow.h"
+#include "core/databaserow.h"
+#include "core/entryrow.h"
+#include "core/executionrow.h"
+#include "core/fleetlayout.h"
+#include "core/instancerow.h"
+#include "core/peermessages.h"
+#include "core/proxyoptions.h"
+#include "core/sessionrow.h"
+#include "core/table.h"
+#include "core/transactionrow.h"
+#include "observe/counters.h"
+#include "rules/ruleset.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// All state of one proxy's decisions: flat tables that the systems run over. Owned by ProxyCore and touched only within
+/// ProxyCore::step. Each row type names the system that writes it.
+struct World
+{
+    FleetLayout layout;
+    ProxyOptions options;
+    InstanceId self;
+    std::uint64_t incarnation = 0; ///< given by the shell at the start; larger after each restart
+    TimePoint now{0};
+
+    std::vector<InstanceRow> instances; ///< index: InstanceId
+    std::vector<DatabaseRow> databases; ///< index: DatabaseId
+    std::vector<BackendRow> backends;   ///< index: BackendId
+    Table<ConnectionId, ConnectionRow> connections;
+    Table<RequestId, EntryRow> entries;
+    Table<ExecutionId, ExecutionRow> executions;
+    Table<TransactionId, TransactionRow> transactions;
+    std::map<std::string, SessionRow, std::less<>> sessions; ///< by session id
+
+    std::optional<RuleSet> rules; ///< empty: none received yet
+    bool stopping = false;
+    TimePoint stopRequestedAt{0};
+
+    Counters counters;
+    std::uint64_t nextNumber = 1;          ///< for serials, forwards, calls; never reused
+    std::deque<PeerMessage> localMessages; ///< messages of this instance to itself, delivered within the same step
+
+    [[nodiscard]] InstanceRow &at(InstanceId id) { return this->instances.at(id.index); }
+    [[nodiscard]] const InstanceRow &at(InstanceId id) const { return this->instances.at(id.index); }
+    [[nodiscard]] DatabaseRow &at(DatabaseId id) { return this->databases.at(id.index); }
+    [[nodiscard]] const DatabaseRow &at(DatabaseId id) const { return this->databases.at(id.index); }
+    [[nodiscard]] BackendRow &at(BackendId id) { return this->backends.at(id.index); }
+    [[nodiscard]] const BackendRow &at(BackendId id) const { return this->backends.at(id.index); }
+
+    [[nodiscard]] std::uint64_t takeNumber() { return this->nextNumber++; }
+    [[nodiscard]] const std::string &selfName() const { return this->layout.at(this->self).name; }
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/membership/rendezvous.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/id.h"
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace Jujubekeel {
+
+struct World;
+
+/// Score of a member for a key; the same on every instance and on every platform.
+[[nodiscard]] std::uint64_t rendezvousScore(std::string_view key, std::string_view member);
+
+/// Live instances that are not leaving, best first: those of \a failureDomain before the others, within each by score.
+/// An empty \a failureDomain prefers none.
+[[nodiscard]] std::vector<InstanceId> rankInstances(const World &world, std::string_view key,
+                                                    std::string_view failureDomain);
+
+/// The best live instance for a key, or an invalid id if there is none.
+[[nodiscard]] InstanceId bestInstance(const World &world, std::string_view key);
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/session/logposition.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace Jujubekeel {
+
+/// A place in a database's log. Positions count log entries from 1; 0 means "before the first entry".
+/// Ordered by term, then by position.
+struct LogPosition
+{
+    std::uint64_t term = 0;
+    std::uint64_t position = 0;
+
+    constexpr auto operator<=>(const LogPosition &) const = default;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/session/sessiontokencodec.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/lastreason.h"
+#include "session/sessionmark.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// Writes and checks session tokens: the mark in plain text with an HMAC-SHA256 signature. The first key signs, every key
+/// verifies, so that a key can be changed without a stop. Stateless after construction; owned by RequestSystem.
+class SessionTokenCodec final
+{
+public:
+    /// \a keys must not be empty.
+    explicit SessionTokenCodec(std::span<const std::string> keys);
+
+    [[nodiscard]] std::string sign(const SessionMark &mark) const;
+    /// Empty with ResultCode::BadToken as reason if the token is malformed or not signed with a key in use.
+    [[nodiscard]] std::optional<SessionMark> verify(std::string_view token, LastReason &reason) const;
+
+private:
+    std::vector<std::string> signingKeys;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/session/termhistory.cpp
@@ -0,0 +1,37 @@
+#include "session/termhistory.h"
+
+#include <algorithm>
+
+namespace Jujubekeel {
+
+TermHistory::TermHistory(std::span<const TermStart> starts)
+{
+    for (const TermStart &start : starts)
+        this->append(start);
+}
+
+void TermHistory::append(TermStart start)
+{
+    if (start.term > this->lastTerm())
+        this->termStarts.push_back(start);
+}
+
+MarkRelation TermHistory::relation(LogPosition end, LogPosition mark) const
+{
+    if (mark.position == 0)
+        return MarkRelation::Contained;
+
+    // A mark of the same or of a newer term is compared by order alone: a server of an older term may still follow.
+    if (end.term <= mark.term)
+        return end >= mark ? MarkRelation::Contained : MarkRelation::NotReached;
+
+    // The first term after the mark's term decides whether the entry survived.
+    const auto next = std::ranges::find_if(this->termStarts, [&](const TermStart &s) { return s.term > mark.term; });
+    if (next == this->termStarts.end())
+        return MarkRelation::NotReached;
+    if (mark.position > next->start)
+        return MarkRelation::NotSurvived;
+    return end.position >= mark.position ? MarkRelation::Contained : MarkRelation::NotReached;
+}
+
+} // namespace Jujubekeel
