--- a/src/core/backendrow.h
+++ b/src/core/backendrow.h
@@ -66,7 +66,8 @@
     /// Primary only: `current` was the end of the confirmed log at own time `currentAsOf` or later.
     LogPosition current;
     TimePoint currentAsOf{0};
-    bool leaving = false; ///< a rule says so; recomputed when the rules change
+    bool leaving = false; ///< a rule says so; written by DrainSystem when the rules change
+    TimePoint leavingSince{0};
     // Owner only.
     OwnershipState ownership;
     ConfirmationState confirmation;
--- a/src/core/instancerow.h
+++ b/src/core/instancerow.h
@@ -18,6 +18,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t rulesVersion = 0; ///< version it announced
     bool listed = true;             ///< in the platform's list, or no list was read yet
+    bool listedLeaving = false;     ///< the platform's list says that it is leaving
     bool leaving = false;           ///< it or the list says that it is leaving
     bool live = false;              ///< recomputed each tick; always true for this instance
 };
--- a/src/core/peermessages.h
+++ b/src/core/peermessages.h
@@ -31,9 +31,10 @@
 
 struct Heartbeat
 {
-    std::uint64_t incarnation = 0; ///< start of the process; tells a restarted instance from the earlier one
-    TimePoint sentAt{0};           ///< sender's clock
-    TimePoint echo{0};             ///< `sentAt` of the last heartbeat received from the receiver; 0: none yet
+    std::uint64_t incarnation = 0;     ///< start of the process; tells a restarted instance from the earlier one
+    TimePoint sentAt{0};               ///< sender's clock
+    TimePoint echo{0};                 ///< `sentAt` of the last heartbeat received from the receiver; 0: none yet
+    std::uint64_t echoIncarnation = 0; ///< incarnation of the receiver that `echo` came from
     std::uint64_t rulesVersion = 0;
     bool leaving = false;
     std::vector<BackendReport> owned;
@@ -73,6 +74,7 @@
     std::uint64_t term = 0; ///< writes: term of the primary as the entry knows it; 0: any
     bool barrier = false;   ///< read at the primary: confirm afterwards that it still is the primary
     bool notRepeatable = false;
+    bool lookup = false; ///< do not execute; tell whether the log holds a write with the request key
 };
 
 struct ForwardAnswer
--- a/src/core/proxyoptions.h
+++ b/src/core/proxyoptions.h
@@ -53,13 +53,20 @@
     Duration maxTimeout = std::chrono::seconds(60);
     Duration retryPause = std::chrono::milliseconds(20); ///< before a not-run request is routed again; doubles
     Duration maxRetryPause = std::chrono::milliseconds(200);
+    Duration readAttemptTimeout = std::chrono::seconds(1);       ///< a read without answer is sent again
+    Duration statementTimeout = std::chrono::milliseconds(1500); ///< a statement without answer closes its connection
+    Duration hopAllowance = std::chrono::milliseconds(40);       ///< the owner gives up this much before the entry does
+    Duration transactionIdle = std::chrono::seconds(30);         ///< an unused transaction is rolled back
 };
 
 struct MembershipOptions
 {
     Duration heartbeatInterval = std::chrono::milliseconds(250);
     Duration peerTimeout = std::chrono::milliseconds(1500); ///< a peer not heard for this long is suspect
-    Duration listInterval = std::chrono::seconds(2);        ///< reading of the platform's instance list
+    Duration interestTime = std::chrono::seconds(30);       ///< a peer in use gets heartbeats this much longer
+    std::uint32_t fullMeshLimit = 16;                       ///< up to this many instances each sends heartbeats to all
+    std::uint32_t ringFanout = 4; ///< above it: next instances of the own failure domain that get heartbeats
+    Duration listInterval = std::chrono::seconds(2); ///< reading of the platform's instance list
 };
 
 struct RuleOptions
@@ -73,12 +80,12 @@
 struct SessionOptions
 {
     std::vector<std::string> tokenKeys; ///< the first signs, all verify
-    std::uint32_t cacheLimit = 20000;   ///< session marks kept by session id
 };
 
 struct DrainOptions
 {
     Duration stopGrace = std::chrono::seconds(20);        ///< longest wait for requests in flight at a stop
+    Duration leavingGrace = std::chrono::seconds(4);      ///< a leaving primary takes new work at most this long
     Duration plannedChangeWait = std::chrono::seconds(3); ///< longest pause of writes in a planned change of primary
 };
 
--- a/src/core/statehasher.cpp
+++ b/src/core/statehasher.cpp
@@ -67,10 +67,6 @@
         hasher.add(id.packed());
         hasher.add(static_cast<std::uint64_t>(row.step));
     });
-    for (const auto &[session, row] : world.sessions) {
-        hasher.add(session);
-        addPosition(hasher, row.mark);
-    }
     hasher.add(world.rules ? world.rules->version() : 0);
     return hasher.value();
 }
--- a/src/core/world.h
+++ b/src/core/world.h
@@ -9,7 +9,7 @@
 #include "core/instancerow.h"
 #include "core/peermessages.h"
 #include "core/proxyoptions.h"
-#include "core/sessionrow.h"
+
 #include "core/table.h"
 #include "core/transactionrow.h"
 #include "observe/counters.h"
@@ -17,7 +17,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -41,7 +40,6 @@
     Table<RequestId, EntryRow> entries;
     Table<ExecutionId, ExecutionRow> executions;
     Table<TransactionId, TransactionRow> transactions;
-    std::map<std::string, SessionRow, std::less<>> sessions; ///< by session id
 
     std::optional<RuleSet> rules; ///< empty: none received yet
     bool stopping = false;
--- a/src/membership/membershipsystem.cpp
+++ b/src/membership/membershipsystem.cpp
@@ -1,23 +1,192 @@
 #include "membership/membershipsystem.h"
 
+#include "authority/groupmonitorsystem.h"
+#include "core/sendtopeer.h"
 #include "core/world.h"
+#include "membership/rendezvous.h"
+
+#include <algorithm>
+#include <vector>
 
 namespace Jujubekeel {
 
-void MembershipSystem::handle(World &, InstanceId, const Heartbeat &, Actions &)
+namespace {
+
+/// Reads of the instance list: the best-ranked instances of each failure domain.
+bool isListReader(const World &world)
 {
+    const std::string &domain = world.layout.at(world.self).failureDomain;
+    const std::vector<InstanceId> ranked = rankInstances(world, "instance-list/" + domain, domain);
+    const std::size_t readers = std::min<std::size_t>(ranked.size(), world.options.rules.watchersPerDomain);
+    return std::find(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(readers), world.self)
+           != ranked.begin() + static_cast<std::ptrdiff_t>(readers);
 }
 
-void MembershipSystem::handle(World &, const PlatformAnswer &, Actions &)
+/// The next instances of the own failure domain in the order of the layout, as a ring.
+bool isRingNeighbour(const World &world, InstanceId peer)
 {
+    const std::string &domain = world.layout.at(world.self).failureDomain;
+    const std::size_t count = world.instances.size();
+    std::uint32_t found = 0;
+    for (std::size_t step = 1; step < count && found < world.options.membership.ringFanout; ++step) {
+        const InstanceId id{.index = static_cast<std::uint32_t>((world.self.index + step) % count), .generation = 0};
+        if (world.layout.at(id).failureDomain != domain)
+            continue;
+        if (id == peer)
+            return true;
+        found += 1;
+    }
+    return false;
 }
 
-void MembershipSystem::tick(World &, Actions &)
+bool isOfInterest(const World &world, InstanceId peer)
 {
+    if (world.instances.size() <= world.options.membership.fullMeshLimit)
+        return true;
+    const InstanceRow &row = world.at(peer);
+    const bool used = row.lastUsed > TimePoint{0} && world.now - row.lastUsed <= world.options.membership.interestTime;
+    return used || isRingNeighbour(world, peer);
+}
+
+std::vector<BackendReport> ownedReports(const World &world)
+{
+    std::vector<BackendReport> reports;
+    for (std::uint32_t index = 0; index < world.backends.size(); ++index) {
+        const OwnershipStep step = world.backends[index].ownership.step;
+        if (step == OwnershipStep::Owned || step == OwnershipStep::Closing)
+            reports.push_back(GroupMonitorSystem::makeReport(world, BackendId{.index = index, .generation = 0}));
+    }
+    return reports;
+}
+
+void sendHeartbeat(World &world, InstanceId peer, const std::vector<BackendReport> &reports, Actions &actions)
+{
+    InstanceRow &row = world.at(peer);
+    Heartbeat heartbeat{.incarnation = world.incarnation,
+                        .sentAt = world.now,
+                        .echo = row.lastSentAt,
+                        .echoIncarnation = row.incarnation,
+                        .rulesVersion = world.rules ? world.rules->version() : 0,
+                        .leaving = world.stopping,
+                        .owned = reports};
+    row.nextHeartbeat = world.now + world.options.membership.heartbeatInterval;
+    sendToPeer(world, peer, std::move(heartbeat), actions);
+    world.counters.add("jujubekeel_heartbeats_sent_total");
+}
+
+} // namespace
+
+void MembershipSystem::handle(World &world, InstanceId from, const Heartbeat &heartbeat, Actions &actions)
+{
+    InstanceRow &row = world.at(from);
+
+    // Heartbeats of an earlier process of the instance may arrive after those of its successor.
+    if (row.heard && heartbeat.incarnation < row.incarnation)
+        return;
+
+    // Presence.
+    const bool restarted = row.heard && heartbeat.incarnation != row.incarnation;
+    if (!row.live || restarted)
+        row.liveSince = world.now;
+    row.heard = true;
+    row.lastHeard = world.now;
+    row.incarnation = heartbeat.incarnation;
+    row.lastSentAt = heartbeat.sentAt;
+    row.rulesVersion = heartbeat.rulesVersion;
+    row.leaving = heartbeat.leaving || row.listedLeaving;
+    row.live = true;
+
+    // Reports. The echo is an own time that is not later than the sending; an echo of an earlier incarnation's clock
+    // says nothing, and 0 stands for "at any time before".
+    const bool echoUsable = heartbeat.echoIncarnation == world.incarnation && heartbeat.echo <= world.now;
+    const TimePoint sentAtLeast = echoUsable ? heartbeat.echo : TimePoint{0};
+    GroupMonitorSystem monitor;
+    for (const BackendReport &report : heartbeat.owned)
+        monitor.observeReport(world, from, report, sentAtLeast);
+
+    // Answers the first heartbeat of a process at once, so that it soon has an echo.
+    if (restarted || row.nextHeartbeat == TimePoint{0})
+        sendHeartbeat(world, from, ownedReports(world), actions);
+}
+
+void MembershipSystem::handle(World &world, const PlatformAnswer &answer, Actions &)
+{
+    if (this->listCall == 0 || answer.call != this->listCall)
+        return;
+    this->listCall = 0;
+    if (answer.code != PlatformStatusCode::Ok)
+        return;
+
+    for (InstanceRow &row : world.instances) {
+        row.listed = false;
+        row.listedLeaving = false;
+    }
+    for (const ListedInstance &listed : answer.instances) {
+        const InstanceId id = world.layout.findInstance(listed.name);
+        if (!id.isValid())
+            continue;
+        world.at(id).listed = true;
+        world.at(id).listedLeaving = listed.leaving;
+        if (listed.leaving && id != world.self)
+            world.at(id).leaving = true;
+    }
+}
+
+void MembershipSystem::tick(World &world, Actions &actions)
+{
+    // Liveness. In a small fleet every instance sends heartbeats to every other; in a large one an instance that was
+    // never heard counts as live while the platform lists it.
+    const MembershipOptions &options = world.options.membership;
+    const bool fullMesh = world.instances.size() <= options.fullMeshLimit;
+    for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
+        InstanceRow &row = world.instances[index];
+        if (index == world.self.index) {
+            row.live = true;
+            row.leaving = world.stopping;
+            row.incarnation = world.incarnation;
+            row.rulesVersion = world.rules ? world.rules->version() : 0;
+            continue;
+        }
+        const bool recent = row.heard && world.now - row.lastHeard <= options.peerTimeout;
+        row.live = recent || (!fullMesh && !row.heard && row.listed);
+    }
+
+    // Heartbeats.
+    std::vector<InstanceId> due;
+    for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
+        const InstanceId id{.index = index, .generation = 0};
+        if (id != world.self && world.now >= world.at(id).nextHeartbeat && isOfInterest(world, id))
+            due.push_back(id);
+    }
+    if (!due.empty()) {
+        const std::vector<BackendReport> reports = ownedReports(world);
+        for (const InstanceId id : due)
+            sendHeartbeat(world, id, reports, actions);
+    }
+
+    // The platform's list.
+    if (this->listCall != 0 && world.now - this->listCallSent > world.options.rules.callTimeout)
+        this->listCall = 0;
+    if (this->listCall == 0 && world.now >= this->nextList) {
+        this->nextList = world.now + options.listInterval;
+        if (isListReader(world)) {
+            this->listCall = world.takeNumber();
+            this->listCallSent = world.now;
+            actions.emplace_back(
+                CallPlatform{.call = {.call = this->listCall, .operation = PlatformOperation::ListInstances}});
+            world.counters.add("jujubekeel_platform_calls_total{call=\"list\"}");
+        }
+    }
 }
 
-void MembershipSystem::announce(World &, Actions &)
+void MembershipSystem::announce(World &world, Actions &actions)
 {
+    const std::vector<BackendReport> reports = ownedReports(world);
+    for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
+        const InstanceId id{.index = index, .generation = 0};
+        if (id != world.self && isOfInterest(world, id))
+            sendHeartbeat(world, id, reports, actions);
+    }
 }
 
 } // namespace Jujubekeel
--- a/src/rules/ruledistributionsystem.cpp
+++ b/src/rules/ruledistributionsystem.cpp
@@ -1,31 +1,139 @@
 #include "rules/ruledistributionsystem.h"
 
+#include "core/sendtopeer.h"
 #include "core/world.h"
+#include "membership/rendezvous.h"
+#include "rules/rulesobject.h"
+
+#include <algorithm>
+#include <vector>
 
 namespace Jujubekeel {
 
-void RuleDistributionSystem::handle(World &, InstanceId, const RulesUpdate &, Actions &)
+namespace {
+
+/// Two queries to peers are at least this far apart; heartbeats of several peers announce a version at the same time.
+constexpr Duration queryPause = std::chrono::milliseconds(100);
+
+bool isWatcher(const World &world)
 {
+    const std::string &domain = world.layout.at(world.self).failureDomain;
+    std::vector<InstanceId> ranked = rankInstances(world, "rules-watch/" + domain, domain);
+    if (ranked.size() > world.options.rules.watchersPerDomain)
+        ranked.resize(world.options.rules.watchersPerDomain);
+    return std::ranges::find(ranked, world.self) != ranked.end();
 }
 
-void RuleDistributionSystem::handle(World &, InstanceId, const RulesQuery &, Actions &)
+std::uint64_t versionInForce(const World &world)
 {
+    return world.rules ? world.rules->version() : 0;
 }
 
-void RuleDistributionSystem::handle(World &, const PlatformAnswer &, Actions &)
+} // namespace
+
+void RuleDistributionSystem::handle(World &world, InstanceId, const RulesUpdate &update, Actions &actions)
 {
+    this->adopt(world, update.version, update.text, actions);
 }
 
-void RuleDistributionSystem::noticeVersion(World &, InstanceId, std::uint64_t, Actions &)
+void RuleDistributionSystem::handle(World &world, InstanceId from, const RulesQuery &query, Actions &actions)
 {
+    if (world.rules && world.rules->version() > query.haveVersion)
+        sendToPeer(world, from, RulesUpdate{.version = world.rules->version(), .text = world.rules->text()}, actions);
 }
 
-void RuleDistributionSystem::tick(World &, Actions &)
+void RuleDistributionSystem::handle(World &world, const PlatformAnswer &answer, Actions &actions)
 {
+    if (this->watchCall == 0 || answer.call != this->watchCall)
+        return;
+    this->watchCall = 0;
+
+    // Without an answer, or before the first rules exist, asks again after a pause.
+    if (answer.code == PlatformStatusCode::Unavailable || answer.code == PlatformStatusCode::NotFound) {
+        this->nextWatch = world.now + world.options.rules.retryDelay;
+        return;
+    }
+    this->nextWatch = world.now;
+    if (answer.code != PlatformStatusCode::Ok || answer.version <= versionInForce(world))
+        return;
+
+    LastReason reason;
+    const auto object = RulesObject::decode(answer.value, reason);
+    if (!object) {
+        this->nextWatch = world.now + world.options.rules.retryDelay;
+        actions.emplace_back(
+            WriteLog{.level = LogLevel::Error,
+                     .event = "rules-rejected",
+                     .fields = {{"version", std::to_string(answer.version)}, {"reason", reason.text()}}});
+        return;
+    }
+    this->adopt(world, answer.version, object->text, actions);
+
+    // Passes the version on within the failure domain; other domains have their own watchers, and heartbeats announce
+    // it to everybody.
+    const std::string &domain = world.layout.at(world.self).failureDomain;
+    for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
+        const InstanceId id{.index = index, .generation = 0};
+        if (id != world.self && world.at(id).live && world.layout.at(id).failureDomain == domain
+            && world.at(id).rulesVersion < answer.version)
+            sendToPeer(world, id, RulesUpdate{.version = answer.version, .text = object->text}, actions);
+    }
 }
 
-void RuleDistributionSystem::adopt(World &, std::uint64_t, const std::string &, Actions &)
+void RuleDistributionSystem::noticeVersion(World &world, InstanceId from, std::uint64_t version, Actions &actions)
 {
+    if (version <= versionInForce(world) || world.now - this->lastQuery < queryPause)
+        return;
+    this->lastQuery = world.now;
+    sendToPeer(world, from, RulesQuery{.haveVersion = versionInForce(world)}, actions);
+}
+
+void RuleDistributionSystem::tick(World &world, Actions &actions)
+{
+    // An answer that does not come counts as lost.
+    const RuleOptions &options = world.options.rules;
+    if (this->watchCall != 0 && world.now - this->watchCallSent > options.watchWait + options.callTimeout)
+        this->watchCall = 0;
+    if (this->watchCall != 0 || world.now < this->nextWatch)
+        return;
+
+    // A proxy without rules reads them itself, also if it is not a watcher.
+    if (world.rules && !isWatcher(world))
+        return;
+    this->watchCall = world.takeNumber();
+    this->watchCallSent = world.now;
+    const PlatformOperation operation = world.rules ? PlatformOperation::Watch : PlatformOperation::Get;
+    actions.emplace_back(CallPlatform{.call = {.call = this->watchCall,
+                                               .operation = operation,
+                                               .key = RulesObject::key(world.layout.user),
+                                               .expectedVersion = versionInForce(world),
+                                               .wait = world.rules ? options.watchWait : Duration{0}}});
+    world.counters.add("jujubekeel_platform_calls_total{call=\"rules\"}");
+}
+
+void RuleDistributionSystem::adopt(World &world, std::uint64_t version, const std::string &text, Actions &actions)
+{
+    if (version <= versionInForce(world))
+        return;
+
+    std::vector<RuleError> errors;
+    auto parsed = RuleSet::parse(text, version, errors);
+    if (!parsed) {
+        const std::string place = errors.empty() ? std::string() : std::to_string(errors.front().line);
+        actions.emplace_back(WriteLog{.level = LogLevel::Error,
+                                      .event = "rules-rejected",
+                                      .fields = {{"version", std::to_string(version)},
+                                                 {"line", place},
+                                                 {"reason", errors.empty() ? "" : errors.front().text}}});
+        world.counters.add("jujubekeel_rules_rejected_total");
+        return;
+    }
+    world.rules = std::move(*parsed);
+    world.counters.set("jujubekeel_rules_version", version);
+    actions.emplace_back(WriteLog{
+        .level = LogLevel::Info,
+        .event = "rules-in-force",
+        .fields = {{"version", std::to_string(version)}, {"rules", std::to_string(world.rules->rules().size())}}});
 }
 
 } // namespace Jujubekeel
