Implement the in-memory fakes of the backend server and the platform

Cause: the virtual fleet and the programs need the two outside systems, and only their headers existed. Ruled out: the term of the last accepted append as the term of a log position. A replica that adopted a new term and still lacks entries before its start would compare as newer than a server that holds confirmed entries, and a promotion could discard them. A position therefore carries the last term that starts at or before it. Also ruled out: storing a term learned from a refusal as a fence, because the promoter of that term could not fence the server then. Change: FakeBackend with replication, terms, barriers, lock, slots and transactions; FakePlatform with conditional updates, watches, the lagging list and faults. ReplicationAppend carries the promoter; FakeBackendOptions has appendBatch.

--- a/src/fakes/fakebackend.h
+++ b/src/fakes/fakebackend.h
@@ -26,7 +26,8 @@
     Duration serviceTime = std::chrono::milliseconds(3); ///< time of one statement in a slot
     Duration heartbeatInterval = std::chrono::milliseconds(50); ///< replication heartbeats
     Duration lockTimeout = std::chrono::seconds(2);             ///< silent control connections are closed
-    Duration applyLag{0}; ///< delay between receiving and applying a log entry at a replica
+    Duration applyLag{0};            ///< delay between receiving and applying a log entry at a replica
+    std::uint32_t appendBatch = 256; ///< log entries in one replication message at most
 };
 
 /// Log entries and heartbeats from a primary to a replica.
@@ -44,6 +45,7 @@
         std::string value;      ///< first outcome, returned for a repeated key
     };
     std::vector<Entry> entries;
+    std::string promoter; ///< who fenced `term`; empty for the first term
 };
 
 /// Acknowledgement from a replica.
@@ -78,6 +80,14 @@
 /// slots, a connection limit, a session-level lock and transactions. Without sockets, threads or clocks: each call
 /// takes the time. Used by the fake-backend program, the virtual fleet and tests.
 ///
+/// A work session is refused at open if its instance does not hold the lock, and its requests are answered NotLockHolder
+/// once the instance has lost it. Only the statements of Execute and ExecuteInside take a slot and `serviceTime`;
+/// everything else is answered at once. A statement on its own that runs when its client closes the session still takes
+/// effect, one whose session the server ends (PreemptLock, TerminateOthers) does not.
+///
+/// Log positions carry the last term that starts at or before them. A server that has learned of a newer term and still
+/// lacks entries before the start of that term thus compares as older than one that holds them.
+///
 /// Statements: `get K`, `put K V`, `append K V` (adds V to the list at K), `count K` (entries of the list at K),
 /// `fail TEXT` (statement error).
 class FakeBackend final
@@ -90,7 +100,8 @@
     FakeBackend(const FakeBackend &) = delete;
     FakeBackend &operator=(const FakeBackend &) = delete;
 
-    /// Opens a session. Returns false if the connection limit is reached; \a session must be new.
+    /// Opens a session. Returns false if the connection limit is reached or if the login asks for a work session and its
+    /// instance does not hold the lock; \a session must be new.
     bool open(TimePoint now, std::uint64_t session, const BackendLogin &login);
     /// The client's side closed the session; an open transaction is rolled back.
     void close(TimePoint now, std::uint64_t session);
--- a/src/fakes/fakeplatform.h
+++ b/src/fakes/fakeplatform.h
@@ -35,11 +35,12 @@
     [[nodiscard]] TimePoint nextEvent() const;
     [[nodiscard]] std::vector<FakePlatformOutput> takeOutputs();
 
+    /// Shows in the list `listLag` after \a now; a time before the start gives a list that holds the instance at once.
     void setInstance(TimePoint now, const std::string &name, bool leaving);
     void removeInstance(TimePoint now, const std::string &name);
 
     // Faults.
-    /// While down, calls get no answer and have no effect.
+    /// While down, calls get no answer and have no effect. Calls and watches under way when it goes down are lost.
     void setDown(bool down);
     void setLatency(Duration latency);
     /// The next \a count Put calls take effect, but their answers are lost.
@@ -72,6 +73,10 @@
         bool leaving = false;
     };
 
+    void perform(PendingCall due);
+    void answerWatches(const std::string &key);
+    void showListChanges(TimePoint now);
+
     FakePlatformOptions options;
     std::map<std::string, Object> objects;
     std::vector<PendingCall> pending;
