--- /dev/null
+++ b/src/wire/replicationjson.cpp
@@ -0,0 +1,108 @@
+#include "wire/replicationjson.h"
+
+#include "wire/backendjson.h"
+#include "wire/jsonfields.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace Jujubekeel {
+
+namespace {
+
+nlohmann::json appendToJson(const ReplicationAppend &append)
+{
+    nlohmann::json entries = nlohmann::json::array();
+    for (const ReplicationAppend::Entry &entry : append.entries) {
+        entries.push_back({{"term", entry.term},
+                           {"request_key", entry.requestKey},
+                           {"statements", entry.statements},
+                           {"value", entry.value}});
+    }
+    return {{"kind", "append"},
+            {"term", append.term},
+            {"history", toJson(append.history)},
+            {"heartbeat", append.heartbeat},
+            {"previous", append.previous},
+            {"entries", std::move(entries)},
+            {"promoter", append.promoter}};
+}
+
+nlohmann::json acknowledgeToJson(const ReplicationAcknowledge &acknowledge)
+{
+    return {{"kind", "acknowledge"},
+            {"term", acknowledge.term},
+            {"accepted", acknowledge.accepted},
+            {"heartbeat", acknowledge.heartbeat},
+            {"received", toJson(acknowledge.received)}};
+}
+
+std::optional<ReplicationMessage> appendFromJson(const nlohmann::json &json, LastReason &reason)
+{
+    JsonFields fields(json, {}, reason);
+    ReplicationAppend append;
+    fields.read("term", append.term, FieldNeed::Required);
+    if (const nlohmann::json *history = fields.array("history", FieldNeed::Required)) {
+        auto starts = termHistoryFromJson(*history, "history", reason);
+        fields.require(starts.has_value());
+        append.history = std::move(starts).value_or(TermHistory{});
+    }
+    fields.read("heartbeat", append.heartbeat, FieldNeed::Required);
+    fields.read("previous", append.previous, FieldNeed::Required);
+    if (const nlohmann::json *entries = fields.array("entries", FieldNeed::Required)) {
+        for (const nlohmann::json &item : *entries) {
+            JsonFields itemFields(item, "entries[" + std::to_string(append.entries.size()) + "]", reason);
+            ReplicationAppend::Entry entry;
+            itemFields.read("term", entry.term, FieldNeed::Required);
+            itemFields.read("request_key", entry.requestKey);
+            itemFields.read("statements", entry.statements, FieldNeed::Required);
+            itemFields.read("value", entry.value);
+            fields.require(itemFields.isOk());
+            if (!fields.isOk())
+                break;
+            append.entries.push_back(std::move(entry));
+        }
+    }
+    fields.read("promoter", append.promoter);
+    return fields.isOk() ? std::optional<ReplicationMessage>(std::move(append)) : std::nullopt;
+}
+
+std::optional<ReplicationMessage> acknowledgeFromJson(const nlohmann::json &json, LastReason &reason)
+{
+    JsonFields fields(json, {}, reason);
+    ReplicationAcknowledge acknowledge;
+    fields.read("term", acknowledge.term, FieldNeed::Required);
+    fields.read("accepted", acknowledge.accepted, FieldNeed::Required);
+    fields.read("heartbeat", acknowledge.heartbeat, FieldNeed::Required);
+    if (const nlohmann::json *received = fields.object("received", FieldNeed::Required)) {
+        const auto position = logPositionFromJson(*received, "received", reason);
+        fields.require(position.has_value());
+        acknowledge.received = position.value_or(LogPosition{});
+    }
+    return fields.isOk() ? std::optional<ReplicationMessage>(acknowledge) : std::nullopt;
+}
+
+} // namespace
+
+nlohmann::json toJson(const ReplicationMessage &message)
+{
+    if (const auto *append = std::get_if<ReplicationAppend>(&message))
+        return appendToJson(*append);
+    return acknowledgeToJson(std::get<ReplicationAcknowledge>(message));
+}
+
+std::optional<ReplicationMessage> replicationMessageFromJson(const nlohmann::json &json, LastReason &reason)
+{
+    JsonFields fields(json, {}, reason);
+    std::string kind;
+    fields.read("kind", kind, FieldNeed::Required);
+    if (kind == "append")
+        return appendFromJson(json, reason);
+    if (kind == "acknowledge")
+        return acknowledgeFromJson(json, reason);
+    fields.fail("kind", "append or acknowledge is expected");
+    return std::nullopt;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/wire/replicationjson.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/lastreason.h"
+#include "fakes/fakebackend.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// JSON forms of the messages between the fake backend servers of a group; docs/fakes.md describes them. Apart from
+/// backendjson.h, because the daemon has no use for them.
+namespace Jujubekeel {
+
+[[nodiscard]] nlohmann::json toJson(const ReplicationMessage &message);
+/// Empty with MalformedRequest or BadField as reason if the message is not valid.
+[[nodiscard]] std::optional<ReplicationMessage> replicationMessageFromJson(const nlohmann::json &json,
+                                                                           LastReason &reason);
+
+} // namespace Jujubekeel
