Add the programs fake-backend and fake-platform

Cause: demos and process tests meet the outside systems over HTTP. Ruled out: POCO's HTTPServer itself, because its handlers do not know their connection, and one connection is one session; a connection factory of our own gives each connection a number and reports its end. Also ruled out: holding replication messages of a frozen server, because each retry of a peer would occupy one more thread; they are dropped, which looks the same to the peers. Change: the two programs and the library that they share (HTTP server, JSON lines log, command line, signals); process tests in tests/fakeprograms.

--- /dev/null
+++ b/src/programs/fake-backend/main.cpp
@@ -0,0 +1,101 @@
+#include "programs/fake-backend/backenddriver.h"
+#include "programs/fake-backend/backendservice.h"
+#include "programs/fake-shared/commandline.h"
+#include "programs/fake-shared/fakehttpserver.h"
+#include "programs/fake-shared/jsonlog.h"
+#include "programs/fake-shared/stopsignal.h"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+
+namespace {
+
+constexpr const char *usage = R"(Fake of one backend server of a replicated group, for demos and tests.
+
+Usage:
+  fake-backend --name=NAME --group=NAMES --first-primary=NAME [options] [--peer=PEER]...
+  fake-backend (--help | --version)
+
+Options:
+  --name=NAME             name of this server
+  --group=NAMES           names of all servers of the group, separated by commas
+  --first-primary=NAME    primary of the first term
+  --peer=PEER             NAME@IP:PORT of another server of the group; can be repeated
+  --listen=ADDRESS        IP address and port; port 0 lets the kernel choose [default: 127.0.0.1:0]
+  --slots=N               statements that execute at one time [default: 3]
+  --connection-limit=N    open sessions, control sessions included [default: 20]
+  --service-ms=N          time of one statement [default: 3]
+  --heartbeat-ms=N        between two replication heartbeats [default: 50]
+  --lock-timeout-ms=N     silent control sessions are closed [default: 2000]
+  --apply-lag-ms=N        between receiving and applying a log entry [default: 0]
+  --connect-ms=N          time that opening a session takes [default: 10]
+  -h --help               show this text
+  --version               show the version
+
+The program writes JSON lines to standard output; the event "ready" holds the address.
+It stops at SIGINT or SIGTERM. docs/fakes.md describes the protocol.
+)";
+
+/// Connections served beyond the limit: replication, tests, and clients that are to be refused.
+constexpr int spareThreads = 64;
+
+Jujubekeel::FakeBackendOptions readOptions(const Jujubekeel::CommandLine &options)
+{
+    using Jujubekeel::CommandLine;
+    Jujubekeel::FakeBackendOptions result;
+    result.name = options.text("--name");
+    result.group = Jujubekeel::splitList(options.text("--group"));
+    result.firstPrimary = options.text("--first-primary");
+    if (std::ranges::count(result.group, result.name) != 1)
+        CommandLine::fail("--group: must hold the name of this server once");
+    if (std::ranges::count(result.group, result.firstPrimary) != 1)
+        CommandLine::fail("--first-primary: must be a server of the group");
+    result.slots = options.number("--slots", 1, 1000);
+    result.connectionLimit = options.number("--connection-limit", 1, 1000);
+    result.serviceTime = options.milliseconds("--service-ms");
+    result.heartbeatInterval = options.milliseconds("--heartbeat-ms");
+    if (result.heartbeatInterval == Jujubekeel::Duration{0})
+        CommandLine::fail("--heartbeat-ms: must not be 0");
+    result.lockTimeout = options.milliseconds("--lock-timeout-ms");
+    result.applyLag = options.milliseconds("--apply-lag-ms");
+    return result;
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    using namespace Jujubekeel;
+    const CommandLine commandLine(usage, "fake-backend 0.1.0", argumentCount, arguments);
+    const FakeBackendOptions options = readOptions(commandLine);
+    startJsonLog(options.name);
+    blockStopSignals();
+    try {
+        BackendDriver driver(options);
+        for (const std::string &peer : commandLine.texts("--peer")) {
+            const std::size_t separator = std::min(peer.find('@'), peer.size());
+            if (separator + 1 >= peer.size()
+                || !driver.setAddress(peer.substr(0, separator), peer.substr(separator + 1)))
+                CommandLine::fail("--peer: NAME@IP:PORT of another server of the group is expected");
+        }
+        BackendService service(driver, options.name, commandLine.milliseconds("--connect-ms"));
+        FakeHttpServer server(
+            {.address = commandLine.text("--listen"),
+             .threads = static_cast<int>(options.connectionLimit) + spareThreads},
+            [&](const FakeHttpCall &call) { return service.handle(call); },
+            [&](std::uint64_t connection) { driver.close(connection); });
+        driver.onClosed([&](std::uint64_t session) { server.closeConnection(session); });
+        server.start();
+        writeLogLine("info", "ready", {{"address", server.address()}});
+        waitForStopSignal();
+        // A frozen server would hold the threads of its connections.
+        driver.setFrozen(false);
+        server.stop();
+        writeLogLine("info", "stopped");
+        return 0;
+    } catch (const Poco::Exception &error) {
+        writeLogLine("error", "start-failed", {{"text", error.displayText()}});
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/programs/fake-shared/commandline.cpp
@@ -0,0 +1,81 @@
+#include "programs/fake-shared/commandline.h"
+
+#include <docopt/docopt.h>
+
+#include <charconv>
+#include <cstdlib>
+#include <iostream>
+
+namespace Jujubekeel {
+
+CommandLine::CommandLine(const std::string &usage, const std::string &version, int argumentCount, char **arguments)
+{
+    try {
+        const std::vector<std::string> given(arguments + 1, arguments + argumentCount);
+        for (const auto &[name, value] : docopt::docopt_parse(usage, given, true, true)) {
+            if (value.isString())
+                this->values[name] = {value.asString()};
+            else if (value.isStringList())
+                this->values[name] = value.asStringList();
+        }
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << usage;
+        std::exit(0);
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << version << '\n';
+        std::exit(0);
+    } catch (const docopt::DocoptArgumentError &error) {
+        fail(error.what());
+    }
+}
+
+std::string CommandLine::text(const std::string &name) const
+{
+    const auto found = this->values.find(name);
+    return found == this->values.end() || found->second.empty() ? std::string{} : found->second.front();
+}
+
+std::vector<std::string> CommandLine::texts(const std::string &name) const
+{
+    const auto found = this->values.find(name);
+    return found == this->values.end() ? std::vector<std::string>{} : found->second;
+}
+
+std::uint32_t CommandLine::number(const std::string &name, std::uint32_t lowest, std::uint32_t highest) const
+{
+    const std::string value = this->text(name);
+    std::uint32_t result = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
+    if (error != std::errc{} || end != value.data() + value.size() || result < lowest || result > highest) {
+        fail(name + ": a whole number from " + std::to_string(lowest) + " to " + std::to_string(highest)
+             + " is expected");
+    }
+    return result;
+}
+
+Duration CommandLine::milliseconds(const std::string &name) const
+{
+    constexpr std::uint32_t hour = 3'600'000;
+    return std::chrono::milliseconds(this->number(name, 0, hour));
+}
+
+void CommandLine::fail(const std::string &text)
+{
+    std::cerr << text << "\nsee --help\n";
+    std::exit(2);
+}
+
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::size_t start = 0;
+    while (start <= text.size()) {
+        const std::size_t end = std::min(text.find(',', start), text.size());
+        if (end > start)
+            parts.push_back(text.substr(start, end - start));
+        start = end + 1;
+    }
+    return parts;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/tests/fakeprograms/fakeplatformprogramtest.cpp
@@ -0,0 +1,97 @@
+#include "fakeprograms/childprogram.h"
+#include "fakeprograms/httpconnection.h"
+
+#include <future>
+
+namespace Jujubekeel {
+
+namespace {
+
+class FakePlatformProgram : public testing::Test
+{
+protected:
+    FakePlatformProgram()
+        : program("fake-platform", {"--list-lag-ms=0", "--instance=p1"}), address(this->program.waitForAddress()),
+          connection(this->address)
+    {
+    }
+
+    ChildProgram program;
+    std::string address;
+    HttpConnection connection;
+};
+
+// Guards against two writers that overwrite each other, and against keys that are cut at a slash.
+TEST_F(FakePlatformProgram, ObjectsAreUpdatedConditionally)
+{
+    const std::string path = "/v1/objects/rules/association";
+    EXPECT_EQ(this->connection.get(path).status, 404);
+    EXPECT_EQ(this->connection.send("PUT", path, "line 1\nline 2").status, 428);
+    const HttpResult created = this->connection.send("PUT", path, "line 1\nline 2", "0");
+    EXPECT_EQ(created.status, 200);
+    EXPECT_EQ(created.etag, "\"1\"");
+    const HttpResult conflict = this->connection.send("PUT", path, "other", "\"0\"");
+    EXPECT_EQ(conflict.status, 412);
+    EXPECT_EQ(conflict.body["code"], "conflict");
+    EXPECT_EQ(conflict.body["version"], 1);
+    EXPECT_EQ(this->connection.get(path).body["value"], "line 1\nline 2");
+    EXPECT_EQ(this->connection.get("/v1/objects/rules").status, 404);
+    EXPECT_EQ(this->connection.send("PUT", path, "\xff", "1").status, 400);
+    EXPECT_EQ(this->connection.get("/v1/counters").body["writes"], 2);
+}
+
+// Guards against watches that miss a change or never end.
+TEST_F(FakePlatformProgram, WatchAnswersAtAChangeOrAfterItsWait)
+{
+    auto watch = std::async(std::launch::async,
+                            [this] { return HttpConnection(this->address).get("/v1/objects/k?after=0&wait_ms=9000"); });
+    ASSERT_TRUE(waitUntil([&] { return this->connection.get("/v1/counters").body["waiting_watches"] == 1; }));
+    this->connection.send("PUT", "/v1/objects/k", "one", "0");
+    EXPECT_EQ(watch.get().body["value"], "one");
+    EXPECT_EQ(this->connection.get("/v1/objects/k?after=1&wait_ms=1").body["code"], "unchanged");
+    EXPECT_EQ(this->connection.get("/v1/objects/k?after=x").status, 400);
+}
+
+// Guards against a list that does not follow the instances.
+TEST_F(FakePlatformProgram, InstancesAreListed)
+{
+    EXPECT_EQ(this->connection.get("/v1/instances").body["instances"].size(), 1U);
+    EXPECT_EQ(this->connection.send("PUT", "/v1/instances/p2", R"({"leaving":true})").status, 200);
+    EXPECT_EQ(this->connection.send("DELETE", "/v1/instances/p1").status, 200);
+    const nlohmann::json expected = {{{"name", "p2"}, {"leaving", true}}};
+    EXPECT_TRUE(waitUntil([&] { return this->connection.get("/v1/instances").body["instances"] == expected; }));
+}
+
+// Guards against faults that show as ordinary answers.
+TEST_F(FakePlatformProgram, FaultsLeaveCallsWithoutAnAnswer)
+{
+    ASSERT_EQ(this->connection.post("/v1/fault", {{"lose_answers", 1}}).status, 200);
+    EXPECT_EQ(HttpConnection(this->address).send("PUT", "/v1/objects/k", "one", "0").status, 0);
+    EXPECT_EQ(this->connection.get("/v1/objects/k").body["version"], 1);
+
+    ASSERT_EQ(this->connection.post("/v1/fault", {{"down", true}}).status, 200);
+    HttpConnection impatient(this->address);
+    impatient.setTimeout(std::chrono::milliseconds(300));
+    EXPECT_EQ(impatient.get("/v1/objects/k").status, 0);
+    ASSERT_EQ(this->connection.post("/v1/fault", {{"down", false}}).status, 200);
+    EXPECT_EQ(this->connection.get("/v1/objects/k").status, 200);
+    EXPECT_EQ(this->connection.post("/v1/fault", {{"latency_ms", "x"}}).status, 400);
+}
+
+// Guards against programs that fail silently on a wrong command line, and against ones that do not end.
+TEST(FakePlatformCommandLine, HelpVersionErrorsAndStop)
+{
+    ChildProgram help("fake-platform", {"--help"});
+    EXPECT_NE(help.readAll().find("--latency-ms"), std::string::npos);
+    EXPECT_EQ(help.wait(), 0);
+    EXPECT_EQ(ChildProgram("fake-platform", {"--version"}).wait(), 0);
+    EXPECT_EQ(ChildProgram("fake-platform", {"--latency-ms=-1"}).wait(), 2);
+    EXPECT_EQ(ChildProgram("fake-platform", {"--listen=127.0.0.1:none"}).wait(), 1);
+    ChildProgram running("fake-platform", {});
+    EXPECT_FALSE(running.waitForAddress().empty());
+    EXPECT_EQ(running.stop(), 0);
+}
+
+} // namespace
+
+} // namespace Jujubekeel
