--- a/tests/fakeprograms/fakeplatformprogramtest.cpp
+++ b/tests/fakeprograms/fakeplatformprogramtest.cpp
@@ -66,12 +66,12 @@
 TEST_F(FakePlatformProgram, FaultsLeaveCallsWithoutAnAnswer)
 {
     ASSERT_EQ(this->connection.post("/v1/fault", {{"lose_answers", 1}}).status, 200);
-    EXPECT_EQ(HttpConnection(this->address).send("PUT", "/v1/objects/k", "one", "0").status, 0);
+    HttpConnection impatient(this->address);
+    impatient.setTimeout(std::chrono::milliseconds(300));
+    EXPECT_EQ(impatient.send("PUT", "/v1/objects/k", "one", "0").status, 0);
     EXPECT_EQ(this->connection.get("/v1/objects/k").body["version"], 1);
 
     ASSERT_EQ(this->connection.post("/v1/fault", {{"down", true}}).status, 200);
-    HttpConnection impatient(this->address);
-    impatient.setTimeout(std::chrono::milliseconds(300));
     EXPECT_EQ(impatient.get("/v1/objects/k").status, 0);
     ASSERT_EQ(this->connection.post("/v1/fault", {{"down", false}}).status, 200);
     EXPECT_EQ(this->connection.get("/v1/objects/k").status, 200);
--- a/tests/fakeprograms/httpconnection.h
+++ b/tests/fakeprograms/httpconnection.h
@@ -34,9 +34,13 @@
         this->session.setKeepAliveTimeout(Poco::Timespan(3600, 0));
         this->session.setTimeout(Poco::Timespan(10, 0));
     }
+    /// Longest wait for an answer; also for a connection that is open already.
     void setTimeout(std::chrono::milliseconds timeout)
     {
-        this->session.setTimeout(Poco::Timespan(std::chrono::microseconds(timeout).count()));
+        const Poco::Timespan span(std::chrono::microseconds(timeout).count());
+        this->session.setTimeout(span);
+        if (this->session.connected())
+            this->session.socket().setReceiveTimeout(span);
     }
 
     HttpResult send(const std::string &method, const std::string &path, const std::string &body = {},
--- a/tests/fakes/fakegroup.cpp
+++ b/tests/fakes/fakegroup.cpp
@@ -119,8 +119,10 @@
             due.push_back(message);
             return true;
         });
-        for (const Message &message : due)
-            this->server(message.to).replicate(this->now, message.from, message.content);
+        for (const Message &message : due) {
+            if (!this->cutOff.contains(message.from) && !this->cutOff.contains(message.to))
+                this->server(message.to).replicate(this->now, message.from, message.content);
+        }
         this->collect();
         if (this->now >= end && due.empty())
             return;
--- a/tests/fakes/fakegroup.h
+++ b/tests/fakes/fakegroup.h
@@ -44,7 +44,7 @@
     void changePrimary(const std::string &name, std::uint64_t term, const std::string &promoter = "p1");
 
     void run(Duration duration);
-    /// Drops replication between this server and the others.
+    /// Drops replication between this server and the others, also what is on its way.
     void cut(const std::string &name) { this->cutOff.insert(name); }
     void heal(const std::string &name) { this->cutOff.erase(name); }
 
