--- /dev/null
+++ b/src/rules/rulecheck.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/fleetlayout.h"
+#include "rules/ruleset.h"
+
+#include <vector>
+
+namespace Jujubekeel {
+
+/// Finds rules that name nothing in the settings: unknown backend servers, and database patterns that match no database.
+/// Separate from RuleSet::parse, because a proxy must accept a rule set that mentions servers its settings lack.
+[[nodiscard]] std::vector<RuleError> checkRules(const RuleSet &rules, const FleetLayout &layout);
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/rules/rulepattern.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string_view>
+
+namespace Jujubekeel {
+
+/// True if the whole \a text matches \a pattern, in which `*` stands for any run of characters, also an empty one.
+[[nodiscard]] bool matchesPattern(std::string_view pattern, std::string_view text);
+
+} // namespace Jujubekeel
--- a/src/rules/ruleset.h
+++ b/src/rules/ruleset.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -26,6 +27,12 @@
     std::string text;      ///< the whole line
 };
 
+/// Writes a rule as one line that parses to the same rule. The comment is taken from \a rule.text.
+[[nodiscard]] std::string printRule(const Rule &rule);
+
+/// Writes an age with the largest unit that holds it without a rest, for example 30s.
+[[nodiscard]] std::string printAge(Duration age);
+
 struct RuleError
 {
     std::uint32_t line = 0;
@@ -37,7 +44,10 @@
 class RuleSet final
 {
 public:
-    /// Parses the whole text. On errors returns an empty value and appends one entry for each bad line to \a errors.
+    /// Largest accepted text in bytes. Values of the platform may have 1 MB, and JSON escapes lengthen the text.
+    static constexpr std::size_t maxTextBytes = 512UL * 1024UL;
+
+    /// Parses the whole text. Empty lines and lines with only a comment are skipped. On errors returns an empty value and appends one entry for each bad line to \a errors.
     [[nodiscard]] static std::optional<RuleSet> parse(std::string_view text, std::uint64_t version,
                                                       std::vector<RuleError> &errors);
 
