Keep the linter and the compiler quiet about the new tests

Cause: a dangling else in a test and an unused constant. Change: braces, and the constant is removed.

--- a/src/requests/executionsystem.cpp
+++ b/src/requests/executionsystem.cpp
@@ -18,9 +18,6 @@
 /// Weight of the newest value in the moving average of the service time: one part in eight.
 constexpr int serviceTimeWeight = 8;
 
-/// Idle connections above the number of slots are closed after this many probe intervals.
-constexpr int idleIntervals = 6;
-
 bool isStatement(RequestKind kind)
 {
     return kind == RequestKind::Read || kind == RequestKind::Write;
@@ -557,10 +554,9 @@
         const ExecutionRow &row = world.executions.at(id);
         const LogPosition position = row.answer.position;
         const std::uint64_t term = position.term != 0 ? position.term : row.forward.term;
-        const bool written = position.position == 0
-                || ConfirmationSystem::isWriteConfirmed(world, backend, position);
-        const bool current = !row.forward.barrier
-                || ConfirmationSystem::isReadConfirmed(world, backend, term, row.arrived);
+        const bool written = position.position == 0 || ConfirmationSystem::isWriteConfirmed(world, backend, position);
+        const bool current =
+            !row.forward.barrier || ConfirmationSystem::isReadConfirmed(world, backend, term, row.arrived);
         if (written && current)
             done.push_back(id);
     }
--- a/tests/requests/transactionnametest.cpp
+++ b/tests/requests/transactionnametest.cpp
@@ -9,11 +9,8 @@
 // Guards against a statement reaching another transaction than the one its caller opened.
 TEST(TransactionName, TextAndBackGivesTheSameName)
 {
-    const TransactionName name{.owner = "north-1",
-                               .incarnation = 7,
-                               .id = {.index = 3, .generation = 9},
-                               .term = 4,
-                               .backend = "sr1-a"};
+    const TransactionName name{
+        .owner = "north-1", .incarnation = 7, .id = {.index = 3, .generation = 9}, .term = 4, .backend = "sr1-a"};
     const auto parsed = TransactionName::parse(name.toText());
     ASSERT_TRUE(parsed.has_value());
     EXPECT_EQ(parsed->owner, name.owner);
--- a/tests/routing/agesamplestest.cpp
+++ b/tests/routing/agesamplestest.cpp
@@ -43,10 +43,11 @@
         samples.record({.term = 1, .position = static_cast<std::uint64_t>(step)}, milliseconds(step * 100));
 
     for (const int step : {600, 1500, 4000, 4990, 5000}) {
-        const auto age = samples.age({.term = 1, .position = static_cast<std::uint64_t>(step)}, firstTerm,
-                                     milliseconds(500000));
-        if (age)
+        const auto age =
+            samples.age({.term = 1, .position = static_cast<std::uint64_t>(step)}, firstTerm, milliseconds(500000));
+        if (age.has_value()) {
             EXPECT_GE(*age, milliseconds(500000 - step * 100)) << step;
+        }
     }
 }
 
