Answer key look-ups of the fake backend server on work connections

Cause: the owner settles an unknown outcome by looking the request key up, and does so like any other statement, over a work connection. Ruled out: the control connection; it holds one request at a time and would delay pings behind look-ups. Change: the fake accepts LookupKey on both kinds of connection. Conclusion: unknown outcomes can be settled against the fake.

--- a/src/fakes/fakebackend.cpp
+++ b/src/fakes/fakebackend.cpp
@@ -904,6 +904,8 @@
             return this->commitTransaction(now, session, request);
         session.transaction = {};
         return BackendAnswer{.transaction = request.transaction};
+    case BackendOperation::LookupKey:
+        return this->lookUp(request);
     default:
         return BackendAnswer{.code = BackendStatusCode::StatementError, .text = "not available on a work connection"};
     }
