--- a/src/authority/groupmonitorsystem.cpp
+++ b/src/authority/groupmonitorsystem.cpp
@@ -2,27 +2,232 @@
 
 #include "core/world.h"
 
+#include <algorithm>
+#include <cassert>
+
 namespace Jujubekeel {
 
-void GroupMonitorSystem::observeStatus(World &, BackendId, const ServerStatus &, TimePoint)
+namespace {
+
+/// Whether a history tells more than another: it ends with a newer term, or it names terms in between that the other
+/// lacks, which happens when the other was put together from notices.
+bool tellsMore(const TermHistory &history, const TermHistory &than)
+{
+    if (history.lastTerm() != than.lastTerm())
+        return history.lastTerm() > than.lastTerm();
+    return history.starts().size() > than.starts().size();
+}
+
+/// Makes a server the known primary. The newest knowledge of the end of the confirmed log moves along: what was
+/// confirmed under the earlier term is part of the new primary's log.
+void setPrimary(World &world, DatabaseId database, BackendId primary)
+{
+    DatabaseRow &row = world.at(database);
+    if (row.primary.isValid() && row.primary != primary) {
+        BackendRow &earlier = world.at(row.primary);
+        BackendRow &present = world.at(primary);
+        if (earlier.currentAsOf > present.currentAsOf) {
+            present.current = earlier.current;
+            present.currentAsOf = earlier.currentAsOf;
+        }
+        if (earlier.role == BackendRole::Primary)
+            earlier.role = BackendRole::Unknown;
+    }
+    if (row.primary != primary)
+        world.announceWanted = true;
+    row.primary = primary;
+    world.at(primary).role = BackendRole::Primary;
+}
+
+/// Takes over a history and, if it comes with one, the primary of its last term.
+void observeTerm(World &world, DatabaseId database, const TermHistory &history, BackendId primary)
+{
+    DatabaseRow &row = world.at(database);
+    const std::uint64_t known = row.history.lastTerm();
+    if (history.lastTerm() == 0 || history.lastTerm() < known)
+        return;
+
+    const bool newer = history.lastTerm() > known;
+    if (tellsMore(history, row.history))
+        row.history = history;
+    if (!primary.isValid())
+        return;
+    // One term has one primary, so a second claim to the known term is left alone.
+    if (newer || !row.primary.isValid()) {
+        setPrimary(world, database, primary);
+        row.lastPromotion = world.now;
+    }
+}
+
+void raise(LogPosition &position, LogPosition to)
 {
+    position = std::max(position, to);
 }
 
-void GroupMonitorSystem::observeReport(World &, InstanceId, const BackendReport &, TimePoint)
+/// Sets the role that a server was seen in under the term of \a history.
+void setRole(World &world, BackendId backend, BackendRole role, const TermHistory &history)
 {
+    BackendRow &row = world.at(backend);
+    const DatabaseRow &group = world.at(row.database);
+    // A primary of a term that has been replaced counts as no primary, whatever it says of itself. A status of the new
+    // primary that was on its way during its promotion still shows a replica of the earlier term.
+    if (role == BackendRole::Primary && group.primary != backend)
+        row.role = BackendRole::Unknown;
+    else if (group.primary != backend || history.lastTerm() >= group.history.lastTerm())
+        row.role = role;
 }
 
-void GroupMonitorSystem::observePromotion(World &, const PromotionNotice &)
+} // namespace
+
+void GroupMonitorSystem::observeStatus(World &world, BackendId backend, const ServerStatus &status, TimePoint sentAt)
 {
+    assert(backend.index < world.backends.size());
+    BackendRow &row = world.at(backend);
+
+    // Positions of a server only rise in the order of (term, position), so the highest one is the newest.
+    if (tellsMore(status.history, row.history))
+        row.history = status.history;
+    raise(row.applied, status.applied);
+    raise(row.received, status.received);
+    // The primary: the server itself, or the one that a replica follows.
+    const DatabaseId database = row.database;
+    if (status.role == BackendRole::Primary) {
+        observeTerm(world, database, status.history, backend);
+    } else if (status.role == BackendRole::Replica) {
+        const BackendId followed = world.layout.findBackend(status.primary);
+        const bool sameGroup = followed.isValid() && world.at(followed).database == database;
+        observeTerm(world, database, status.history, sameGroup && followed != backend ? followed : BackendId{});
+    }
+
+    if (sentAt >= row.statusAt) {
+        row.statusAt = sentAt;
+        setRole(world, backend, status.role, status.history);
+    }
 }
 
-void GroupMonitorSystem::observePosition(World &, BackendId, LogPosition, TimePoint)
+void GroupMonitorSystem::observeReport(World &world, InstanceId from, const BackendReport &report,
+                                       TimePoint sentAtLeast)
 {
+    assert(report.backend.index < world.backends.size());
+    BackendRow &row = world.at(report.backend);
+
+    // Owner. Of two instances that claim a server, the one with the later report counts; what this instance owns itself
+    // is known better here.
+    const OwnershipStep step = row.ownership.step;
+    const bool ownedHere =
+        step == OwnershipStep::Owned || step == OwnershipStep::Closing || step == OwnershipStep::Unlocking;
+    if (!ownedHere) {
+        const bool present = row.owner == from;
+        const bool ownerGone = !row.owner.isValid() || !world.at(row.owner).live;
+        if (present || ownerGone || row.ownerHeard < world.now) {
+            row.owner = from;
+            row.ownerHeard = world.now;
+            row.ownerClosing = report.closing;
+            row.queueLength = report.queueLength;
+        }
+    }
+
+    // Positions.
+    if (tellsMore(report.history, row.history))
+        row.history = report.history;
+    raise(row.applied, report.applied);
+    raise(row.received, std::max(report.received, report.applied));
+
+    // The primary, and the end of its confirmed log.
+    observeTerm(world, row.database, report.history, report.primary ? report.backend : BackendId{});
+    if (sentAtLeast >= row.statusAt) {
+        row.statusAt = sentAtLeast;
+        setRole(world, report.backend, report.primary ? BackendRole::Primary : BackendRole::Replica, report.history);
+    }
+    const DatabaseRow &group = world.at(row.database);
+    if (report.primary && report.confirmedAge >= Duration{0} && report.history.lastTerm() == group.history.lastTerm())
+        this->observeConfirmed(world, report.backend, report.received, sentAtLeast - report.confirmedAge);
 }
 
-BackendReport GroupMonitorSystem::makeReport(const World &, BackendId)
+void GroupMonitorSystem::observeOwned(World &world, InstanceId from, std::span<const BackendReport> reports)
 {
-    return {};
+    for (std::uint32_t index = 0; index < world.backends.size(); ++index) {
+        BackendRow &row = world.backends[index];
+        if (row.owner != from)
+            continue;
+        const bool reported =
+            std::ranges::any_of(reports, [&](const BackendReport &report) { return report.backend.index == index; });
+        if (!reported) {
+            row.owner = InstanceId{};
+            row.ownerClosing = false;
+        }
+    }
+}
+
+void GroupMonitorSystem::observePromotion(World &world, const PromotionNotice &notice)
+{
+    assert(notice.database.index < world.databases.size());
+    assert(notice.primary.index < world.backends.size());
+    DatabaseRow &row = world.at(notice.database);
+    if (notice.start.term < row.history.lastTerm())
+        return;
+    if (notice.start.term == row.history.lastTerm() && row.primary.isValid())
+        return;
+
+    row.history.append(notice.start);
+    setPrimary(world, notice.database, notice.primary);
+    row.lastPromotion = world.now;
+}
+
+void GroupMonitorSystem::observePosition(World &world, BackendId backend, LogPosition applied, TimePoint receivedAt)
+{
+    assert(backend.index < world.backends.size());
+    assert(receivedAt <= world.now);
+    BackendRow &row = world.at(backend);
+    raise(row.applied, applied);
+    raise(row.received, applied);
+}
+
+void GroupMonitorSystem::observeConfirmed(World &world, BackendId backend, LogPosition end, TimePoint asOf)
+{
+    assert(backend.index < world.backends.size());
+    BackendRow &row = world.at(backend);
+    const DatabaseRow &group = world.at(row.database);
+    if (group.primary != backend || end.term > group.history.lastTerm() || asOf <= row.currentAsOf)
+        return;
+    raise(row.current, end);
+    row.currentAsOf = asOf;
+}
+
+void GroupMonitorSystem::observeOwnership(World &world, BackendId backend, bool owned)
+{
+    assert(backend.index < world.backends.size());
+    BackendRow &row = world.at(backend);
+    if (owned) {
+        row.owner = world.self;
+        row.ownerHeard = world.now;
+        row.ownerClosing = false;
+    } else if (row.owner == world.self) {
+        row.owner = InstanceId{};
+        row.ownerClosing = false;
+    }
+    world.announceWanted = true;
+}
+
+BackendReport GroupMonitorSystem::makeReport(const World &world, BackendId backend)
+{
+    assert(backend.index < world.backends.size());
+    const BackendRow &row = world.at(backend);
+    const DatabaseRow &group = world.at(row.database);
+    // Only the server's own term counts: an owner that still holds a replaced primary must not report it as confirmed.
+    const bool primary = group.primary == backend && row.role == BackendRole::Primary
+                         && row.history.lastTerm() == group.history.lastTerm();
+    const bool confirmed = primary && row.currentAsOf > TimePoint{0};
+
+    // The reported end of the log is the one that the age belongs to.
+    return BackendReport{.backend = backend,
+                         .primary = primary,
+                         .applied = row.applied,
+                         .received = confirmed ? row.current : row.received,
+                         .history = row.history,
+                         .confirmedAge = confirmed ? world.now - row.currentAsOf : Duration{-1},
+                         .queueLength = row.queueLength,
+                         .closing = row.ownership.step == OwnershipStep::Closing || row.ownerClosing};
 }
 
 } // namespace Jujubekeel
--- a/src/core/backendrow.h
+++ b/src/core/backendrow.h
@@ -29,8 +29,17 @@
     Duration retryDelay{0};
     TimePoint orphanSince{0};      ///< since when no live owner has been known; 0: there is one
     TimePoint betterSince{0};      ///< since when a better candidate has been live; 0: there is none
+    TimePoint nextRanking{0};      ///< when the candidates are ranked again
+    TimePoint ownedSince{0};       ///< start of the present ownership
+    TimePoint closingSince{0};     ///< start of Closing
+    std::uint32_t handovers = 0;   ///< in a row that came back to this instance; lengthens the pause before the next
+    bool preempting = false;       ///< the attempt under way takes the lock from its holder
+    InstanceId blockedBy;          ///< holder named by the last refused Lock; invalid: none
+    TimePoint blockedSince{0};     ///< since when the holder has been heard by nobody that was asked
+    TimePoint holderAsked{0};      ///< when the live peers were asked whether they hear the holder; 0: not yet
     std::uint32_t preemptions = 0; ///< in a row; lengthens the pause before the next
-    TimePoint lastAnswer{0};       ///< last answer on the control connection
+    TimePoint lastPreemption{0};
+    TimePoint lastAnswer{0}; ///< last answer on the control connection
     TimePoint nextPing{0};
     // The one control request that may be under way.
     std::uint64_t serial = 0; ///< 0: none
@@ -39,14 +48,32 @@
     std::uint64_t barrierPosition = 0;
 };
 
+/// Lease of the database's primary as its owner holds it. Written by ConfirmationSystem; lease policies only.
+struct LeaseState
+{
+    std::uint64_t term = 0;        ///< term that the lease was granted for; 0: none
+    TimePoint validUntil{0};       ///< own clock, counted from the moment the renewal was sent
+    std::uint64_t call = 0;        ///< platform call under way; 0: none
+    bool writing = false;          ///< that call is the conditional update
+    TimePoint sentAt{0};           ///< of that call
+    TimePoint nextRenewal{0};      ///< when the next renewal is due
+    bool versionKnown = false;     ///< false: read the object before the next update
+    std::uint64_t version = 0;     ///< of the lease object
+    std::uint64_t sequence = 0;    ///< of the last update sent; recognises it after a lost answer
+    std::uint64_t writtenTerm = 0; ///< term in that update
+    TimePoint writtenAt{0};        ///< send time of that update
+};
+
 /// What the owner has had confirmed by the group. Written by ConfirmationSystem from answers to barriers.
 struct ConfirmationState
 {
-    LogPosition confirmed;         ///< highest position acknowledged by enough replicas under the server's term
-    TimePoint barrierSentAt{0};    ///< send time of the last barrier that was answered Ok
-    std::uint64_t barrierTerm = 0; ///< term of that answer
-    bool barrierWanted = false;    ///< an execution waits; send the next barrier at once
-    TimePoint lastAcknowledged{0}; ///< last time any replica was seen to acknowledge under the server's term
+    LogPosition confirmed;            ///< highest position acknowledged by enough replicas under the server's term
+    TimePoint barrierSentAt{0};       ///< send time of the last barrier that was answered Ok
+    std::uint64_t barrierTerm = 0;    ///< term of that answer
+    bool barrierWanted = false;       ///< an execution waits; send the next barrier at once
+    std::uint64_t wantedPosition = 0; ///< highest position that a waiting execution needs acknowledged
+    TimePoint lastAcknowledged{0};    ///< last time any replica was seen to acknowledge under the server's term
+    LeaseState lease;                 ///< lease policies only
 };
 
 /// What this proxy knows about one backend server, as owner from the server itself, else from the owner's heartbeats.
--- a/src/core/databaserow.h
+++ b/src/core/databaserow.h
@@ -1,15 +1,53 @@
 #pragma once
 
+#include "core/backendmessages.h"
+#include "core/connectionrow.h"
 #include "core/id.h"
 #include "core/time.h"
+#include "session/logposition.h"
 #include "session/termhistory.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace Jujubekeel {
 
-enum class PromotionStep : std::uint8_t { Idle, CatchingUp, Claiming, Fencing, Promoting, BackingOff };
+enum class PromotionStep : std::uint8_t {
+    Idle,
+    CatchingUp, ///< planned switchover: writes are paused until the candidate holds the whole log
+    Claiming,   ///< conditional update of the promotions object
+    Fencing,
+    AwaitingLease, ///< lease policies: the lease of the earlier term may still be valid
+    Promoting,
+    BackingOff,
+};
+
+/// Knowledge of one backend server of the group over a short-lived control connection of the coordinator.
+struct PromotionMember
+{
+    ConnectionId connection;  ///< invalid: none
+    bool open = false;        ///< the connection is established
+    TimePoint notBefore{0};   ///< next attempt to connect
+    TimePoint failedAt{0};    ///< last refused or lost connection; 0: none since the last answer
+    std::uint64_t serial = 0; ///< request under way; 0: none
+    BackendOperation operation = BackendOperation::Status;
+    std::uint64_t requestTerm = 0;      ///< Fence, Promote, Follow: term in that request
+    TimePoint sentAt{0};                ///< of that request
+    TimePoint deadline{0};              ///< the connection is closed if no answer came by then
+    TimePoint nextProbe{0};             ///< when the next status is due
+    std::optional<ServerStatus> status; ///< last status received on this connection or an earlier one
+    TimePoint answeredAt{0};            ///< arrival of that status; 0: none
+    TimePoint unconfirmedAt{0};         ///< arrival of the last BarrierTimeout; 0: none since the last Ok
+    std::uint64_t fencedTerm = 0;       ///< highest term whose fence by this instance the server accepted
+    std::uint64_t refusedTerm = 0;      ///< highest term whose fence by this instance the server refused
+    bool followWanted = false;          ///< must be told to follow the present primary
+    bool inspect = false;               ///< reported under an older term; its status is asked for
+    TimePoint behindSince{0};           ///< since when it has been reported under an older term; 0: it is not
+    LogPosition seenReceived;           ///< last reported end of its log while it lagged
+    TimePoint progressAt{0};            ///< when that last rose; 0: it does not lag
+    TimePoint nextRepair{0};            ///< when it may be inspected again
+};
 
 /// Progress of a promotion that this instance orders as coordinator of the database. Written by PromotionSystem.
 struct PromotionState
@@ -26,6 +64,31 @@
     TimePoint suspectSince{0}; ///< primary without status since; 0: not suspect
     TimePoint cutOffSince{0};  ///< primary without acknowledgement by a replica since; 0: not cut off
     std::uint32_t failures = 0;
+    bool excludePrimary = false;   ///< the replaced primary can't be chosen and doesn't count for the majority
+    bool refencingWanted = false;  ///< a server refuses the known term; a newer one brings it back into the group
+    bool coordinates = false;      ///< this instance is the coordinator
+    TimePoint coordinatesSince{0}; ///< start of that
+    std::vector<PromotionMember> members; ///< same order as DatabaseRow::backends; empty until first needed
+    bool claimWriting = false;            ///< the platform call under way is the conditional update
+    std::uint64_t claimSequence = 0;      ///< of the last update sent; recognises it after a lost answer
+    std::uint64_t claimedTerm = 0;        ///< highest term found in the promotions object
+    InstanceId rival;                     ///< another live promoter named there for a newer term
+    std::uint64_t rivalTerm = 0;
+    TimePoint rivalSince{0};
+    TimePoint fenceLeftSince{0}; ///< since when a majority has refused the known term without a new primary; 0: no
+    // Planned switchover.
+    bool drained = false;  ///< the owner reported that nothing that writes runs
+    LogPosition drainedAt; ///< end of the log at that time
+    TimePoint pauseStarted{0};
+    TimePoint nextPause{0}; ///< when the owner is asked again
+    // Lease policies.
+    std::uint64_t leaseCall = 0;
+    bool leaseWriting = false;
+    TimePoint leaseSentAt{0};
+    std::uint64_t leaseSequence = 0;
+    bool leaseTaken = false; ///< renewals of older terms are refused since leaseTakenAt
+    TimePoint leaseTakenAt{0};
+    bool leaseNeverHeld = false; ///< no lease existed before
 };
 
 /// What this proxy knows about one database. `primary` and `history` are written by GroupMonitorSystem alone.
@@ -36,7 +99,11 @@
     TermHistory history;        ///< newest that was seen
     TimePoint lastPromotion{0}; ///< when the present primary became known
     PromotionState promotion;
-    bool writesPaused = false; ///< planned switchover: the owner keeps new writes in the queue
+    bool writesPaused = false;          ///< planned switchover: the owner keeps new writes in the queue
+    TimePoint writesPausedUntil{0};     ///< the pause ends by itself if the coordinator doesn't renew it
+    std::uint64_t writesPausedTerm = 0; ///< term that the pause applies to
+    InstanceId writesPausedBy;          ///< coordinator that asked
+    bool writesDrained = false;         ///< the coordinator was told that nothing that writes runs
 };
 
 } // namespace Jujubekeel
--- a/src/core/peermessages.h
+++ b/src/core/peermessages.h
@@ -64,6 +64,37 @@
     BackendId backend;
 };
 
+/// Asks a live peer whether it hears the instance that holds a backend server's lock.
+struct HolderQuery
+{
+    BackendId backend;
+    InstanceId holder;
+};
+
+struct HolderAnswer
+{
+    BackendId backend;
+    InstanceId holder;
+    bool heard = false;
+};
+
+/// Planned switchover: the coordinator asks the owner of the primary to keep new writes in its queue, or to go on.
+struct WritePause
+{
+    DatabaseId database;
+    std::uint64_t term = 0; ///< of the primary; the pause ends with it
+    bool paused = false;
+    Duration lasting{0}; ///< the pause ends by itself after this time unless it is renewed
+};
+
+/// Planned switchover: the owner of the primary reports that nothing that writes runs any more.
+struct WritesDrained
+{
+    DatabaseId database;
+    std::uint64_t term = 0;
+    LogPosition position; ///< end of the log
+};
+
 /// A request that the entry proxy sends to the owner of the chosen backend server.
 struct ForwardRequest
 {
@@ -91,7 +122,7 @@
     BackendId primary;
 };
 
-using PeerMessage =
-    std::variant<Heartbeat, RulesUpdate, RulesQuery, PromotionNotice, Handover, ForwardRequest, ForwardAnswer>;
+using PeerMessage = std::variant<Heartbeat, RulesUpdate, RulesQuery, PromotionNotice, Handover, ForwardRequest,
+                                 ForwardAnswer, HolderQuery, HolderAnswer, WritePause, WritesDrained>;
 
 } // namespace Jujubekeel
--- a/src/core/proxycore.cpp
+++ b/src/core/proxycore.cpp
@@ -40,6 +40,12 @@
     this->executions.advance(this->state, actions);
     this->deliverLocal(actions);
     this->ownership.sendBarriers(this->state, actions);
+
+    // Peers hear at once who owns a server now and which server is the primary.
+    if (this->state.announceWanted) {
+        this->state.announceWanted = false;
+        this->membership.announce(this->state, actions);
+    }
 }
 
 void ProxyCore::dispatch(const Input &input, Actions &actions)
@@ -52,6 +58,7 @@
                 this->ruleDistribution.tick(this->state, actions);
                 this->drain.tick(this->state, actions);
                 this->ownership.tick(this->state, actions);
+                this->confirmation.tick(this->state, actions);
                 this->promotion.tick(this->state, actions);
                 this->executions.tick(this->state, actions);
                 this->requests.tick(this->state, actions);
@@ -64,6 +71,7 @@
             } else if constexpr (std::is_same_v<Event, PlatformAnswered>) {
                 this->membership.handle(this->state, event.answer, actions);
                 this->ruleDistribution.handle(this->state, event.answer, actions);
+                this->confirmation.handle(this->state, event.answer);
                 this->promotion.handle(this->state, event.answer, actions);
             } else if constexpr (std::is_same_v<Event, StopRequested>) {
                 this->drain.requestStop(this->state, actions);
@@ -112,6 +120,10 @@
                 this->groupMonitor.observePromotion(this->state, content);
             } else if constexpr (std::is_same_v<Content, Handover>) {
                 this->ownership.handover(this->state, content.backend, actions);
+            } else if constexpr (std::is_same_v<Content, HolderQuery> || std::is_same_v<Content, HolderAnswer>) {
+                this->ownership.handle(this->state, from, content, actions);
+            } else if constexpr (std::is_same_v<Content, WritePause> || std::is_same_v<Content, WritesDrained>) {
+                this->promotion.handle(this->state, from, content, actions);
             } else if constexpr (std::is_same_v<Content, ForwardRequest>) {
                 this->executions.handle(this->state, from, content, actions);
             } else {
--- a/src/core/proxycore.h
+++ b/src/core/proxycore.h
@@ -52,6 +52,7 @@
     DrainSystem drain;
     OwnershipSystem ownership;
     GroupMonitorSystem groupMonitor;
+    ConfirmationSystem confirmation;
     PromotionSystem promotion;
     RequestSystem requests;
     ExecutionSystem executions;
--- a/src/core/world.h
+++ b/src/core/world.h
@@ -45,6 +45,9 @@
     bool stopping = false;
     TimePoint stopRequestedAt{0};
 
+    std::vector<BackendId> barriersWanted; ///< servers with ConfirmationState::barrierWanted, in order of the requests
+    bool announceWanted = false;           ///< ownership or a primary changed; send heartbeats at the end of the step
+
     Counters counters;
     std::uint64_t nextNumber = 1;          ///< for serials, forwards, calls; never reused
     std::deque<PeerMessage> localMessages; ///< messages of this instance to itself, delivered within the same step
--- a/src/membership/membershipsystem.cpp
+++ b/src/membership/membershipsystem.cpp
@@ -103,6 +103,7 @@
     GroupMonitorSystem monitor;
     for (const BackendReport &report : heartbeat.owned)
         monitor.observeReport(world, from, report, sentAtLeast);
+    monitor.observeOwned(world, from, heartbeat.owned);
 
     // Answers the first heartbeat of a process at once, so that it soon has an echo.
     if (restarted || row.nextHeartbeat == TimePoint{0})
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -1,31 +1,548 @@
 #include "ownership/ownershipsystem.h"
 
+#include "authority/writeauthoritypolicy.h"
+#include "core/sendtopeer.h"
 #include "core/world.h"
+#include "membership/rendezvous.h"
+#include "observe/logaction.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstddef>
+#include <optional>
+#include <utility>
+#include <vector>
 
 namespace Jujubekeel {
 
-void OwnershipSystem::connectionOpened(World &, ConnectionId, bool, Actions &)
+namespace {
+
+/// Time that live peers get to say whether they hear the holder of a lock; two heartbeat intervals cover a slow link.
+constexpr Duration holderAnswerTime = std::chrono::milliseconds(500);
+
+/// A handover waits at most this long for running work. New work is refused meanwhile, so a long transaction must not
+/// keep the server unused; the handover is tried again later.
+constexpr Duration closingTime = std::chrono::seconds(3);
+
+/// Pauses that double after each preemption or fruitless handover stop growing after so many.
+constexpr std::uint32_t maxDoublings = 6;
+
+/// A process that has just started hears of live owners and of its peers within two heartbeat intervals; until then it
+/// would take itself for the best candidate of every server.
+Duration startGrace(const World &world)
+{
+    const bool allHeard = std::ranges::all_of(world.instances, [](const InstanceRow &row) { return row.live; });
+    return allHeard ? Duration{0} : 2 * world.options.membership.heartbeatInterval;
+}
+
+Duration doubled(Duration base, std::uint32_t times)
+{
+    return base * (1U << std::min(times, maxDoublings));
+}
+
+bool holdsLock(OwnershipStep step)
+{
+    return step == OwnershipStep::Owned || step == OwnershipStep::Closing || step == OwnershipStep::Unlocking;
+}
+
+std::vector<InstanceId> rankedFor(const World &world, BackendId backend)
+{
+    const BackendSettings &settings = world.layout.at(backend);
+    return rankInstances(world, settings.name, settings.failureDomain);
+}
+
+/// Rank of this instance among the candidates; empty if it is none.
+std::optional<std::size_t> ownRank(const World &world, BackendId backend)
+{
+    const std::vector<InstanceId> ranked = rankedFor(world, backend);
+    const auto found = std::ranges::find(ranked, world.self);
+    if (found == ranked.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - ranked.begin());
+}
+
+bool hasLiveOwner(const World &world, const BackendRow &row)
+{
+    return row.owner.isValid() && row.owner != world.self && world.at(row.owner).live
+           && world.now - row.ownerHeard <= world.options.membership.peerTimeout;
+}
+
+/// Whether a statement or a transaction is under way at the server.
+bool isBusy(const World &world, BackendId backend)
+{
+    bool busy = false;
+    world.executions.forEach([&](ExecutionId, const ExecutionRow &row) {
+        busy = busy || (row.backend == backend && row.step != ExecutionStep::Queued);
+    });
+    world.transactions.forEach(
+        [&](TransactionId, const TransactionRow &row) { busy = busy || row.backend == backend; });
+    return busy;
+}
+
+bool waitsForConfirmation(const World &world, BackendId backend)
+{
+    bool waits = false;
+    world.executions.forEach([&](ExecutionId, const ExecutionRow &row) {
+        waits = waits || (row.backend == backend && row.step == ExecutionStep::Confirming);
+    });
+    return waits;
+}
+
+std::vector<std::pair<std::string, std::string>> describe(const World &world, BackendId backend)
+{
+    const BackendRow &row = world.at(backend);
+    return {{"database", world.layout.at(row.database).name},
+            {"backend_server", world.layout.at(backend).name},
+            {"term", std::to_string(row.history.lastTerm())},
+            {"instance", world.selfName()}};
+}
+
+void logChange(const World &world, BackendId backend, LogLevel level, std::string event, std::string reason,
+               Actions &actions)
+{
+    auto fields = describe(world, backend);
+    if (!reason.empty())
+        fields.emplace_back("reason", std::move(reason));
+    appendLog(actions, level, std::move(event), std::move(fields));
+}
+
+} // namespace
+
+void OwnershipSystem::connect(World &world, BackendId backend, bool preempt, Actions &actions)
+{
+    OwnershipState &state = world.at(backend).ownership;
+    assert(state.step == OwnershipStep::None);
+    state.step = OwnershipStep::Connecting;
+    state.preempting = preempt;
+    state.serial = 0;
+    state.control = world.connections.insert({.backend = backend,
+                                              .purpose = ConnectionPurpose::Ownership,
+                                              .state = ConnectionState::Opening,
+                                              .since = world.now,
+                                              .deadline = world.now + world.options.ownership.pingTimeout});
+    actions.emplace_back(OpenConnection{.connection = state.control, .backend = backend, .control = true});
+}
+
+void OwnershipSystem::send(World &world, BackendId backend, BackendOperation operation, Actions &actions)
+{
+    OwnershipState &state = world.at(backend).ownership;
+    assert(state.serial == 0);
+    state.serial = world.takeNumber();
+    state.operation = operation;
+    state.sentAt = world.now;
+    state.nextPing = world.now + world.options.ownership.pingInterval;
+
+    ConnectionRow &connection = world.connections.at(state.control);
+    connection.state = ConnectionState::Busy;
+    connection.since = world.now;
+    connection.serial = state.serial;
+    connection.deadline = world.now + world.options.ownership.pingTimeout;
+
+    BackendRequest request{.serial = state.serial, .operation = operation, .instance = world.selfName()};
+    if (operation == BackendOperation::Barrier) {
+        request.position = state.barrierPosition;
+        request.wait = world.options.authority.barrierWait;
+        world.counters.add("jujubekeel_barriers_total");
+    }
+    actions.emplace_back(SendToBackend{.connection = state.control, .request = std::move(request)});
+}
+
+void OwnershipSystem::sendBarrier(World &world, BackendId backend, Actions &actions)
+{
+    BackendRow &row = world.at(backend);
+    row.ownership.barrierPosition = row.confirmation.wantedPosition;
+    row.confirmation.barrierWanted = false;
+    row.confirmation.wantedPosition = 0;
+    // A group of one server has no replica that could acknowledge a heartbeat; its own answer is all there is.
+    const bool alone = requiredAcknowledgements(world, row.database) == 0;
+    this->send(world, backend, alone ? BackendOperation::Status : BackendOperation::Barrier, actions);
+}
+
+void OwnershipSystem::connectionOpened(World &world, ConnectionId connection, bool ok, Actions &actions)
+{
+    const BackendId backend = world.connections.at(connection).backend;
+    OwnershipState &state = world.at(backend).ownership;
+    assert(state.control == connection && state.step == OwnershipStep::Connecting);
+    if (!ok) {
+        world.connections.erase(connection);
+        state.control = ConnectionId{};
+        this->giveUp(world, backend, "connection refused", actions);
+        return;
+    }
+    state.step = OwnershipStep::Locking;
+    state.lastAnswer = world.now;
+    this->send(world, backend, state.preempting ? BackendOperation::PreemptLock : BackendOperation::Lock, actions);
+}
+
+void OwnershipSystem::connectionLost(World &world, ConnectionId connection, Actions &actions)
 {
+    const BackendId backend = world.connections.at(connection).backend;
+    OwnershipState &state = world.at(backend).ownership;
+    assert(state.control == connection);
+    world.connections.erase(connection);
+    state.control = ConnectionId{};
+    this->giveUp(world, backend, "control connection lost", actions);
 }
 
-void OwnershipSystem::connectionLost(World &, ConnectionId, Actions &)
+void OwnershipSystem::answered(World &world, ConnectionId connection, const BackendAnswer &answer, Actions &actions)
 {
+    const BackendId backend = world.connections.at(connection).backend;
+    BackendRow &row = world.at(backend);
+    OwnershipState &state = row.ownership;
+    assert(state.control == connection);
+    if (state.serial == 0 || answer.serial != state.serial) {
+        this->giveUp(world, backend, "unexpected answer on the control connection", actions);
+        return;
+    }
+
+    state.serial = 0;
+    state.lastAnswer = world.now;
+    ConnectionRow &connectionRow = world.connections.at(connection);
+    connectionRow.state = ConnectionState::Idle;
+    connectionRow.since = world.now;
+    connectionRow.serial = 0;
+
+    // Knowledge of the server.
+    if (answer.status) {
+        this->monitor.observeStatus(world, backend, *answer.status, state.sentAt);
+        if (holdsLock(state.step) || state.step == OwnershipStep::Terminating)
+            this->confirmation.observeStatus(world, backend, *answer.status);
+    }
+
+    switch (state.step) {
+    case OwnershipStep::Locking:
+        if (answer.code == BackendStatusCode::Ok) {
+            if (state.preempting) {
+                state.preemptions += 1;
+                state.lastPreemption = world.now;
+                world.counters.add("jujubekeel_preemptions_total");
+                logChange(world, backend, LogLevel::Warning, "lock-preempted",
+                          state.blockedBy.isValid() ? "holder " + world.layout.at(state.blockedBy).name : "", actions);
+            }
+            state.step = OwnershipStep::Terminating;
+            this->send(world, backend, BackendOperation::TerminateOthers, actions);
+        } else if (answer.code == BackendStatusCode::LockHeld) {
+            const bool named = answer.status && !answer.status->lockHolder.empty();
+            this->lockRefused(world, backend, named ? answer.status->lockHolder : answer.text, actions);
+        } else {
+            this->giveUp(world, backend, "lock refused", actions);
+        }
+        return;
+    case OwnershipStep::Terminating:
+        if (answer.code == BackendStatusCode::Ok)
+            this->owned(world, backend, actions);
+        else
+            this->giveUp(world, backend, "sessions of the previous owner not ended", actions);
+        return;
+    case OwnershipStep::Unlocking:
+        this->released(world, backend, actions);
+        return;
+    case OwnershipStep::Owned:
+    case OwnershipStep::Closing:
+        break;
+    case OwnershipStep::None:
+    case OwnershipStep::Connecting:
+        assert(false);
+        return;
+    }
+
+    // The lock may have gone to another instance on a connection that stayed open.
+    if (answer.status && !answer.status->lockHolder.empty() && answer.status->lockHolder != world.selfName()) {
+        this->giveUp(world, backend, "lock held by " + answer.status->lockHolder, actions);
+        return;
+    }
+    row.ownerHeard = world.now;
+
+    const bool alone = requiredAcknowledgements(world, row.database) == 0;
+    const bool confirmed =
+        answer.code == BackendStatusCode::Ok && (state.operation == BackendOperation::Barrier || alone);
+    if (confirmed && answer.status && answer.status->role == BackendRole::Primary) {
+        this->confirmation.observeBarrier(world, backend, *answer.status, state.sentAt);
+        this->monitor.observeConfirmed(world, backend, answer.status->received, state.sentAt);
+    }
+    // What waited for a barrier that timed out waits for the next one.
+    if (answer.code == BackendStatusCode::BarrierTimeout && waitsForConfirmation(world, backend))
+        ConfirmationSystem::request(world, backend, state.barrierPosition);
 }
 
-void OwnershipSystem::answered(World &, ConnectionId, const BackendAnswer &, Actions &)
+void OwnershipSystem::owned(World &world, BackendId backend, Actions &actions)
 {
+    OwnershipState &state = world.at(backend).ownership;
+    state.step = OwnershipStep::Owned;
+    state.ownedSince = world.now;
+    state.orphanSince = TimePoint{0};
+    state.betterSince = TimePoint{0};
+    state.nextRanking = world.now;
+    state.retryDelay = Duration{0};
+    state.blockedBy = InstanceId{};
+    state.blockedSince = TimePoint{0};
+    state.nextPing = world.now;
+    this->monitor.observeOwnership(world, backend, true);
+    world.counters.add("jujubekeel_takeovers_total");
+    logChange(world, backend, LogLevel::Info, "ownership-taken", "", actions);
 }
 
-void OwnershipSystem::handover(World &, BackendId, Actions &)
+void OwnershipSystem::lockRefused(World &world, BackendId backend, const std::string &holder, Actions &actions)
 {
+    OwnershipState &state = world.at(backend).ownership;
+    const InstanceId instance = world.layout.findInstance(holder);
+    if (instance != state.blockedBy) {
+        state.blockedBy = instance;
+        state.blockedSince = world.now;
+        state.holderAsked = TimePoint{0};
+    }
+    this->giveUp(world, backend, {}, actions);
+}
+
+void OwnershipSystem::giveUp(World &world, BackendId backend, const std::string &reason, Actions &actions)
+{
+    BackendRow &row = world.at(backend);
+    OwnershipState &state = row.ownership;
+    const bool held = holdsLock(state.step);
+    const bool unlocking = state.step == OwnershipStep::Unlocking;
+
+    if (state.control.isValid()) {
+        actions.emplace_back(CloseConnection{.connection = state.control});
+        world.connections.erase(state.control);
+        state.control = ConnectionId{};
+    }
+    state.serial = 0;
+
+    // The lock goes with the connection, so an unanswered Unlock is a release all the same.
+    if (unlocking) {
+        this->released(world, backend, actions);
+        return;
+    }
+    state.step = OwnershipStep::None;
+    state.preempting = false;
+    const OwnershipOptions &options = world.options.ownership;
+    state.retryDelay = std::clamp(state.retryDelay * 2, options.retryDelay, options.maxRetryDelay);
+    state.notBefore = world.now + state.retryDelay;
+    row.confirmation.barrierWanted = false;
+    row.confirmation.wantedPosition = 0;
+
+    if (held) {
+        this->monitor.observeOwnership(world, backend, false);
+        world.counters.add("jujubekeel_ownership_lost_total");
+        logChange(world, backend, LogLevel::Warning, "ownership-lost", reason, actions);
+    } else if (!reason.empty()) {
+        logChange(world, backend, LogLevel::Debug, "ownership-attempt-failed", reason, actions);
+    }
+}
+
+void OwnershipSystem::startClosing(World &world, BackendId backend, const std::string &reason, Actions &actions)
+{
+    OwnershipState &state = world.at(backend).ownership;
+    assert(state.step == OwnershipStep::Owned);
+    state.step = OwnershipStep::Closing;
+    state.closingSince = world.now;
+    world.announceWanted = true;
+    logChange(world, backend, LogLevel::Info, "handover-started", reason, actions);
+}
+
+void OwnershipSystem::released(World &world, BackendId backend, Actions &actions)
+{
+    OwnershipState &state = world.at(backend).ownership;
+    if (state.control.isValid()) {
+        actions.emplace_back(CloseConnection{.connection = state.control});
+        world.connections.erase(state.control);
+        state.control = ConnectionId{};
+    }
+    state.step = OwnershipStep::None;
+    state.serial = 0;
+    state.handovers += 1;
+    state.orphanSince = TimePoint{0};
+    // The asked peer gets the time that one rank has before this instance competes again.
+    state.notBefore = world.now + world.options.ownership.candidateDelay;
+    this->monitor.observeOwnership(world, backend, false);
+
+    std::vector<InstanceId> ranked = rankedFor(world, backend);
+    std::erase(ranked, world.self);
+    if (!ranked.empty())
+        sendToPeer(world, ranked.front(), Handover{.backend = backend}, actions);
+    world.counters.add("jujubekeel_handovers_total");
+    logChange(world, backend, LogLevel::Info, "ownership-handed-over",
+              ranked.empty() ? "no other instance is live" : "to " + world.layout.at(ranked.front()).name, actions);
 }
 
-void OwnershipSystem::tick(World &, Actions &)
+void OwnershipSystem::handover(World &world, BackendId backend, Actions &actions)
 {
+    assert(backend.index < world.backends.size());
+    OwnershipState &state = world.at(backend).ownership;
+    if (world.stopping || state.step != OwnershipStep::None)
+        return;
+    state.retryDelay = Duration{0};
+    this->connect(world, backend, false, actions);
+}
+
+void OwnershipSystem::handle(World &world, InstanceId from, const HolderQuery &query, Actions &actions)
+{
+    const InstanceRow &holder = world.at(query.holder);
+    sendToPeer(world, from,
+               HolderAnswer{.backend = query.backend,
+                            .holder = query.holder,
+                            .heard = query.holder == world.self || holder.live},
+               actions);
+}
+
+void OwnershipSystem::handle(World &world, InstanceId, const HolderAnswer &answer, Actions &)
+{
+    OwnershipState &state = world.at(answer.backend).ownership;
+    if (!answer.heard || answer.holder != state.blockedBy)
+        return;
+    state.blockedSince = world.now;
+    state.holderAsked = TimePoint{0};
+}
+
+void OwnershipSystem::tick(World &world, Actions &actions)
+{
+    if (!this->started) {
+        this->started = true;
+        this->startedAt = world.now;
+    }
+    for (std::uint32_t index = 0; index < world.backends.size(); ++index) {
+        const BackendId backend{.index = index, .generation = 0};
+        if (world.at(backend).ownership.step == OwnershipStep::None)
+            this->tickCandidate(world, backend, actions);
+        else
+            this->tickOwner(world, backend, actions);
+    }
+}
+
+void OwnershipSystem::tickCandidate(World &world, BackendId backend, Actions &actions)
+{
+    const OwnershipOptions &options = world.options.ownership;
+    BackendRow &row = world.at(backend);
+    OwnershipState &state = row.ownership;
+
+    if (hasLiveOwner(world, row)) {
+        state.orphanSince = TimePoint{0};
+        state.retryDelay = Duration{0};
+        state.handovers = 0;
+        state.blockedBy = InstanceId{};
+        state.blockedSince = TimePoint{0};
+        // Preemptions count as one series until the present owner has been heard for as long as the last pause.
+        if (world.now - state.lastPreemption > doubled(options.preemptAfter, state.preemptions))
+            state.preemptions = 0;
+        return;
+    }
+    if (state.orphanSince == TimePoint{0}) {
+        state.orphanSince = std::max(world.now, TimePoint{1});
+        state.nextRanking = world.now;
+    }
+    if (world.stopping || world.now < state.nextRanking || world.now < this->startedAt + startGrace(world))
+        return;
+
+    // A holder that neither this instance nor any live peer hears loses the lock to another failure domain.
+    const bool unheard = state.blockedBy.isValid() && state.blockedBy != world.self && !world.at(state.blockedBy).live
+                         && world.layout.at(state.blockedBy).failureDomain != world.layout.at(world.self).failureDomain;
+    const TimePoint preemptionDue = state.blockedSince + doubled(options.preemptAfter, state.preemptions);
+    if (!unheard) {
+        state.blockedSince = world.now;
+        state.holderAsked = TimePoint{0};
+    } else if (world.now + holderAnswerTime >= preemptionDue && state.holderAsked == TimePoint{0}) {
+        state.holderAsked = world.now;
+        sendToLivePeers(world, HolderQuery{.backend = backend, .holder = state.blockedBy}, actions);
+    }
+    const bool preempt = unheard && world.now >= preemptionDue && world.now >= state.holderAsked + holderAnswerTime;
+    if (!preempt && world.now < state.notBefore)
+        return;
+
+    // The better-ranked candidates come first. Ranking reads all instances, so it isn't repeated in every tick.
+    const std::optional<std::size_t> rank = ownRank(world, backend);
+    if (!rank || world.now < (preempt ? preemptionDue : state.orphanSince) + *rank * options.candidateDelay) {
+        state.nextRanking = world.now + options.candidateDelay / 10;
+        return;
+    }
+    if (preempt) {
+        state.blockedSince = world.now;
+        state.holderAsked = TimePoint{0};
+    }
+    this->connect(world, backend, preempt, actions);
+}
+
+void OwnershipSystem::tickOwner(World &world, BackendId backend, Actions &actions)
+{
+    const OwnershipOptions &options = world.options.ownership;
+    BackendRow &row = world.at(backend);
+    OwnershipState &state = row.ownership;
+
+    // An attempt or a request without answer. After a pause of this process the server has dropped the connection even
+    // if nothing was under way.
+    const bool opening = state.step == OwnershipStep::Connecting;
+    if (opening ? world.now > world.connections.at(state.control).deadline
+                : state.serial != 0 && world.now - state.sentAt > options.pingTimeout) {
+        this->giveUp(world, backend, "no answer on the control connection", actions);
+        return;
+    }
+    if (holdsLock(state.step) && world.now - state.lastAnswer > options.lockTimeout) {
+        this->giveUp(world, backend, "control connection silent for longer than the lock lasts", actions);
+        return;
+    }
+
+    // An instance that is stopping takes nothing.
+    if (!holdsLock(state.step)) {
+        if (world.stopping)
+            this->giveUp(world, backend, "stopping", actions);
+        return;
+    }
+
+    // Handover.
+    if (state.step == OwnershipStep::Owned && world.stopping) {
+        this->startClosing(world, backend, "stopping", actions);
+    } else if (state.step == OwnershipStep::Owned && world.now >= state.nextRanking) {
+        state.nextRanking = world.now + options.pingInterval;
+        const std::vector<InstanceId> ranked = rankedFor(world, backend);
+        if (ranked.empty() || ranked.front() == world.self)
+            state.betterSince = TimePoint{0};
+        else if (state.betterSince == TimePoint{0})
+            state.betterSince = world.now;
+        else if (world.now - state.betterSince >= doubled(options.handoverAfter, state.handovers))
+            this->startClosing(world, backend, "better candidate " + world.layout.at(ranked.front()).name, actions);
+    }
+    if (state.step == OwnershipStep::Closing && state.serial == 0 && !isBusy(world, backend)) {
+        state.step = OwnershipStep::Unlocking;
+        this->send(world, backend, BackendOperation::Unlock, actions);
+        return;
+    }
+    if (state.step == OwnershipStep::Closing && !world.stopping && world.now - state.closingSince > closingTime) {
+        state.step = OwnershipStep::Owned;
+        state.betterSince = world.now;
+        world.announceWanted = true;
+        logChange(world, backend, LogLevel::Info, "handover-postponed", "work is still running", actions);
+    }
+
+    // Pings. On a primary a ping is a barrier, so that it also tells how current the replicas are.
+    if (state.step != OwnershipStep::Unlocking && state.serial == 0 && world.now >= state.nextPing) {
+        if (row.role == BackendRole::Primary)
+            this->sendBarrier(world, backend, actions);
+        else
+            this->send(world, backend, BackendOperation::Status, actions);
+    }
 }
 
-void OwnershipSystem::sendBarriers(World &, Actions &)
+void OwnershipSystem::sendBarriers(World &world, Actions &actions)
 {
+    if (world.barriersWanted.empty())
+        return;
+    std::erase_if(world.barriersWanted, [&](BackendId backend) {
+        BackendRow &row = world.at(backend);
+        const OwnershipState &state = row.ownership;
+        if (!row.confirmation.barrierWanted)
+            return true;
+        // Only an owned primary can confirm; what waits at another server is ended by its own deadline or by the
+        // new primary.
+        if ((state.step != OwnershipStep::Owned && state.step != OwnershipStep::Closing)
+            || row.role != BackendRole::Primary) {
+            row.confirmation.barrierWanted = false;
+            row.confirmation.wantedPosition = 0;
+            return true;
+        }
+        if (state.serial != 0)
+            return false;
+        this->sendBarrier(world, backend, actions);
+        return true;
+    });
 }
 
 } // namespace Jujubekeel
