--- /dev/null
+++ b/src/settings/settingsloader.cpp
@@ -0,0 +1,561 @@
+#include "settings/settingsloader.h"
+
+#include "settings/keyfile.h"
+#include "settings/settingssection.h"
+
+#include <Poco/Net/IPAddress.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <initializer_list>
+#include <tuple>
+#include <utility>
+
+namespace Jujubekeel {
+
+/// The file that was named and the shared file that it includes. A section may stand in either, but not in both.
+struct SettingsFiles
+{
+    std::filesystem::path mainPath;
+    std::filesystem::path sharedPath;
+    SettingsSection main;
+    std::optional<SettingsSection> shared;
+
+    /// The file that holds the key, the main one if neither does. Reports a key that stands in both.
+    SettingsSection &holder(std::string_view key)
+    {
+        if (!this->shared)
+            return this->main;
+        if (this->main.has(key) && this->shared->has(key)) {
+            this->main.report(key, "the key is also set in " + this->shared->file() + " in line "
+                                       + std::to_string(this->shared->lineOf(key)) + "; expected it in one file");
+        }
+        // Both files must know the key, so that neither reports it as unknown.
+        SettingsSection &other = this->main.has(key) ? *this->shared : this->main;
+        other.expect(key);
+        return this->main.has(key) ? this->main : *this->shared;
+    }
+
+    [[nodiscard]] const std::filesystem::path &pathOf(const SettingsSection &section) const
+    {
+        return &section == &this->main ? this->mainPath : this->sharedPath;
+    }
+};
+
+namespace {
+
+constexpr std::uint32_t dayMs = 24U * 60U * 60U * 1000U;
+constexpr std::size_t maxNameBytes = 64;
+
+/// Loads one file. Empty if it cannot be read or is no YAML, which is reported.
+std::optional<YAML::Node> loadFile(const std::filesystem::path &path, SettingsErrors &errors)
+{
+    // The YAML library throws other exceptions than its own for a directory.
+    std::error_code failure;
+    if (!std::filesystem::is_regular_file(path, failure)) {
+        errors.push_back({.file = path.string(), .text = "cannot be read; expected a YAML file"});
+        return std::nullopt;
+    }
+    try {
+        std::vector<YAML::Node> documents = YAML::LoadAllFromFile(path.string());
+        if (documents.size() != 1) {
+            errors.push_back({.file = path.string(),
+                              .text = "holds " + std::to_string(documents.size())
+                                      + " YAML documents; expected one mapping of keys to values"});
+            return std::nullopt;
+        }
+        return documents.front();
+    } catch (const YAML::BadFile &) {
+        errors.push_back({.file = path.string(), .text = "cannot be read; expected a YAML file"});
+    } catch (const YAML::Exception &exception) {
+        const std::uint32_t line = exception.mark.is_null() ? 0 : static_cast<std::uint32_t>(exception.mark.line + 1);
+        errors.push_back({.file = path.string(), .line = line, .text = "is not valid YAML: " + exception.msg});
+    }
+    return std::nullopt;
+}
+
+bool isName(std::string_view text)
+{
+    return !text.empty() && text.size() <= maxNameBytes && std::ranges::all_of(text, [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' || c == '_'
+               || c == '-';
+    });
+}
+
+/// True for "ip:port" and "[ip]:port" with an address that others can connect to.
+bool isAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return false;
+    const std::string_view port = text.substr(colon + 1);
+    std::string_view host = text.substr(0, colon);
+    const bool bracketed = host.starts_with('[') && host.ends_with(']');
+    if (bracketed)
+        host = host.substr(1, host.size() - 2);
+
+    unsigned portNumber = 0;
+    const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), portNumber);
+    if (error != std::errc{} || end != port.data() + port.size() || portNumber == 0 || portNumber > 65535)
+        return false;
+    Poco::Net::IPAddress address;
+    if (!Poco::Net::IPAddress::tryParse(std::string(host), address) || address.isWildcard())
+        return false;
+    return bracketed == (address.family() == Poco::Net::IPAddress::IPv6);
+}
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+/// A time and where it is set, for comparisons.
+struct TimeSetting
+{
+    SettingsSection &section;
+    std::string_view key;
+    Duration value;
+};
+
+/// Reports that \a first is smaller than \a second, at whichever of the two the file sets.
+void requireAtLeast(const TimeSetting &first, const TimeSetting &second, bool strictly = false)
+{
+    if (strictly ? first.value > second.value : first.value >= second.value)
+        return;
+    const bool firstIsSet = first.section.has(first.key) || !second.section.has(second.key);
+    const TimeSetting &place = firstIsSet ? first : second;
+    place.section.report(place.key, std::string(first.key) + " is " + milliseconds(first.value) + " and "
+                                        + std::string(second.key) + " is " + milliseconds(second.value) + "; expected "
+                                        + std::string(first.key) + (strictly ? " above " : " of at least ")
+                                        + std::string(second.key));
+}
+
+/// The same for counts.
+struct CountSetting
+{
+    SettingsSection &section;
+    std::string_view key;
+    std::uint64_t value;
+};
+
+void requireAtLeast(const CountSetting &first, const CountSetting &second)
+{
+    if (first.value >= second.value)
+        return;
+    const bool firstIsSet = first.section.has(first.key) || !second.section.has(second.key);
+    const CountSetting &place = firstIsSet ? first : second;
+    place.section.report(place.key, std::string(first.key) + " is " + std::to_string(first.value) + " and "
+                                        + std::string(second.key) + " is " + std::to_string(second.value)
+                                        + "; expected " + std::string(first.key) + " of at least "
+                                        + std::string(second.key));
+}
+
+constexpr std::array policies{
+    std::pair{std::string_view("group-confirmation"), AuthorityPolicy::GroupConfirmation},
+    std::pair{std::string_view("platform-lease"), AuthorityPolicy::PlatformLease},
+    std::pair{std::string_view("lease-and-confirmation"), AuthorityPolicy::LeaseAndConfirmation},
+};
+
+} // namespace
+
+std::string SettingsLoader::readName(SettingsSection &section, std::string_view key)
+{
+    const auto text = section.text(key, true);
+    if (!text)
+        return {};
+    if (!isName(*text)) {
+        section.report(key, "\"" + *text + "\" is not a valid name; expected 1 to " + std::to_string(maxNameBytes)
+                                + " letters, digits, '.', '_' or '-'");
+        return {};
+    }
+    return *text;
+}
+
+std::string SettingsLoader::readAddress(SettingsSection &section, std::string_view key)
+{
+    const auto text = section.text(key, true);
+    if (!text)
+        return {};
+    if (!isAddress(*text)) {
+        section.report(key, "\"" + *text
+                                + "\" is not a valid address; expected ip:port, for example 10.0.0.7:7001, "
+                                  "without name resolution and with an address that others can connect to");
+        return {};
+    }
+    this->requireUnique(this->addresses, section, key, *text);
+    return *text;
+}
+
+void SettingsLoader::requireUnique(std::map<std::string, FirstUse> &uses, SettingsSection &section,
+                                   std::string_view key, const std::string &value)
+{
+    if (value.empty())
+        return;
+    const std::uint32_t line = section.lineOf(key);
+    const auto [first, isNew] = uses.try_emplace(value, FirstUse{.file = section.file(), .line = line});
+    if (!isNew) {
+        section.report(key, "\"" + value + "\" is already used in " + first->second.file + " in line "
+                                + std::to_string(first->second.line) + "; expected a value that is used once");
+    }
+}
+
+void SettingsLoader::readOwnership(SettingsFiles &files, ProxySettings &settings)
+{
+    OwnershipOptions &options = settings.options.ownership;
+    SettingsSection section = files.holder("ownership").section("ownership");
+    section.read("ping_interval_ms", options.pingInterval, 10, 60000);
+    section.read("ping_timeout_ms", options.pingTimeout, 10, 60000);
+    section.read("lock_timeout_ms", options.lockTimeout, 100, 600000);
+    section.read("candidate_delay_ms", options.candidateDelay, 10, 60000);
+    section.read("handover_after_ms", options.handoverAfter, 100, 600000);
+    section.read("preempt_after_ms", options.preemptAfter, 100, 600000);
+    section.read("retry_delay_ms", options.retryDelay, 10, 60000);
+    section.read("max_retry_delay_ms", options.maxRetryDelay, 10, 600000);
+    section.read("control_reserve", options.controlReserve, 1, 16);
+    section.read("idle_probe_ms", options.idleProbe, 100, 600000);
+    section.reportUnknownKeys();
+
+    requireAtLeast(TimeSetting{section, "ping_timeout_ms", options.pingTimeout},
+                   TimeSetting{section, "ping_interval_ms", options.pingInterval});
+    // The server would drop control connections that their owner still counts as healthy.
+    requireAtLeast(TimeSetting{section, "lock_timeout_ms", options.lockTimeout},
+                   TimeSetting{section, "ping_timeout_ms", options.pingTimeout});
+    requireAtLeast(TimeSetting{section, "max_retry_delay_ms", options.maxRetryDelay},
+                   TimeSetting{section, "retry_delay_ms", options.retryDelay});
+}
+
+void SettingsLoader::readAuthority(SettingsFiles &files, ProxySettings &settings)
+{
+    AuthorityOptions &options = settings.options.authority;
+    SettingsSection section = files.holder("authority").section("authority");
+    if (const auto name = section.text("policy", false)) {
+        const auto *policy = std::ranges::find(policies, *name, &std::pair<std::string_view, AuthorityPolicy>::first);
+        if (policy == policies.end()) {
+            section.report("policy", "\"" + *name
+                                         + "\" is unknown; expected group-confirmation, platform-lease or "
+                                           "lease-and-confirmation");
+        } else {
+            options.policy = policy->second;
+        }
+    }
+    section.read("suspect_after_ms", options.suspectAfter, 50, 600000);
+    section.read("replication_silence_ms", options.replicationSilence, 50, 600000);
+    section.read("cut_off_after_ms", options.cutOffAfter, 50, 600000);
+    section.read("claim_timeout_ms", options.claimTimeout, 10, 60000);
+    section.read("step_timeout_ms", options.stepTimeout, 10, 60000);
+    section.read("promotion_hold_off_ms", options.promotionHoldOff, 100, 600000);
+    section.read("retry_delay_ms", options.retryDelay, 10, 60000);
+    section.read("max_retry_delay_ms", options.maxRetryDelay, 10, 600000);
+    section.read("barrier_wait_ms", options.barrierWait, 10, 60000);
+    section.read("lease_duration_ms", options.leaseDuration, 100, 600000);
+    section.read("lease_renewal_ms", options.leaseRenewal, 10, 600000);
+    section.read("promotions_shard_size", options.promotionsShardSize, 1, 4096);
+    section.reportUnknownKeys();
+
+    // A lease that lasts no longer than its renewal interval expires before each renewal.
+    requireAtLeast(TimeSetting{section, "lease_duration_ms", options.leaseDuration},
+                   TimeSetting{section, "lease_renewal_ms", options.leaseRenewal}, true);
+    requireAtLeast(TimeSetting{section, "cut_off_after_ms", options.cutOffAfter},
+                   TimeSetting{section, "suspect_after_ms", options.suspectAfter});
+    requireAtLeast(TimeSetting{section, "max_retry_delay_ms", options.maxRetryDelay},
+                   TimeSetting{section, "retry_delay_ms", options.retryDelay});
+    // Status arrives with pings: a shorter limit would suspect every healthy primary.
+    SettingsSection ownership = files.holder("ownership").section("ownership");
+    requireAtLeast(TimeSetting{section, "suspect_after_ms", options.suspectAfter},
+                   TimeSetting{ownership, "ping_interval_ms", settings.options.ownership.pingInterval}, true);
+}
+
+void SettingsLoader::readAdmission(SettingsFiles &files, ProxySettings &settings)
+{
+    AdmissionOptions &options = settings.options.admission;
+    SettingsSection section = files.holder("admission").section("admission");
+    section.read("queue_limit", options.queueLimit, 1, 100000);
+    section.read("caller_queue_limit", options.callerQueueLimit, 1, 100000);
+    section.read("retry_percent", options.retryPercent, 0, 100);
+    section.read("retry_floor_per_s", options.retryFloor, 0, 100000);
+    section.read("default_timeout_ms", options.defaultTimeout, 10, dayMs);
+    section.read("max_timeout_ms", options.maxTimeout, 10, dayMs);
+    section.read("retry_pause_ms", options.retryPause, 1, 60000);
+    section.read("max_retry_pause_ms", options.maxRetryPause, 1, 60000);
+    section.read("read_attempt_timeout_ms", options.readAttemptTimeout, 10, dayMs);
+    section.read("statement_timeout_ms", options.statementTimeout, 10, dayMs);
+    section.read("hop_allowance_ms", options.hopAllowance, 1, 60000);
+    section.read("transaction_idle_ms", options.transactionIdle, 100, dayMs);
+    section.reportUnknownKeys();
+
+    requireAtLeast(CountSetting{section, "queue_limit", options.queueLimit},
+                   CountSetting{section, "caller_queue_limit", options.callerQueueLimit});
+    requireAtLeast(TimeSetting{section, "max_timeout_ms", options.maxTimeout},
+                   TimeSetting{section, "default_timeout_ms", options.defaultTimeout});
+    requireAtLeast(TimeSetting{section, "max_retry_pause_ms", options.maxRetryPause},
+                   TimeSetting{section, "retry_pause_ms", options.retryPause});
+    // Nothing would be left of the default time after the hop to the owner.
+    requireAtLeast(TimeSetting{section, "default_timeout_ms", options.defaultTimeout},
+                   TimeSetting{section, "hop_allowance_ms", options.hopAllowance}, true);
+}
+
+void SettingsLoader::readMembershipAndRules(SettingsFiles &files, ProxySettings &settings)
+{
+    MembershipOptions &membership = settings.options.membership;
+    SettingsSection section = files.holder("membership").section("membership");
+    section.read("heartbeat_interval_ms", membership.heartbeatInterval, 10, 60000);
+    section.read("peer_timeout_ms", membership.peerTimeout, 50, 600000);
+    section.read("interest_time_ms", membership.interestTime, 100, dayMs);
+    section.read("full_mesh_limit", membership.fullMeshLimit, 1, 10000);
+    section.read("ring_fanout", membership.ringFanout, 1, 100);
+    section.read("list_interval_ms", membership.listInterval, 100, 600000);
+    section.reportUnknownKeys();
+    requireAtLeast(TimeSetting{section, "peer_timeout_ms", membership.peerTimeout},
+                   TimeSetting{section, "heartbeat_interval_ms", membership.heartbeatInterval}, true);
+
+    RuleOptions &rules = settings.options.rules;
+    SettingsSection ruleSection = files.holder("rules").section("rules");
+    ruleSection.read("watchers_per_domain", rules.watchersPerDomain, 1, 100);
+    ruleSection.read("watch_wait_ms", rules.watchWait, 100, 600000);
+    ruleSection.read("retry_delay_ms", rules.retryDelay, 10, 60000);
+    ruleSection.read("call_timeout_ms", rules.callTimeout, 10, 60000);
+    ruleSection.reportUnknownKeys();
+}
+
+void SettingsLoader::readDrainAndTrace(SettingsFiles &files, ProxySettings &settings)
+{
+    DrainOptions &drain = settings.options.drain;
+    SettingsSection section = files.holder("drain").section("drain");
+    section.read("stop_grace_ms", drain.stopGrace, 0, dayMs);
+    section.read("leaving_grace_ms", drain.leavingGrace, 0, 600000);
+    section.read("planned_change_wait_ms", drain.plannedChangeWait, 100, 600000);
+    section.reportUnknownKeys();
+
+    TraceOptions &trace = settings.options.trace;
+    SettingsSection traceSection = files.holder("trace").section("trace");
+    traceSection.read("sample_percent", trace.samplePercent, 0, 100);
+    traceSection.read("slow_ms", trace.slow, 1, dayMs);
+    traceSection.reportUnknownKeys();
+}
+
+void SettingsLoader::readLimits(SettingsFiles &files, ProxySettings &settings)
+{
+    ShellOptions &shell = settings.shell;
+    SettingsSection section = files.holder("limits").section("limits");
+    section.read("caller_threads", shell.callerThreads, 1, 1024);
+    section.read("operator_threads", shell.operatorThreads, 1, 64);
+    section.read("backend_threads", shell.backendThreads, 1, 4096);
+    section.read("max_connections", shell.maxConnections, 1, 1000000);
+    section.read("max_request_bytes", shell.maxRequestBytes, 1024, 64U * 1024U * 1024U);
+    section.read("idle_timeout_ms", shell.idleTimeout, 100, dayMs);
+    section.read("connect_timeout_ms", shell.connectTimeout, 10, 60000);
+    section.read("explain_limit", shell.explainLimit, 1, 10000000);
+    section.read("span_limit", shell.spanLimit, 1, 10000000);
+    section.read("tick_interval_ms", settings.options.tickInterval, 1, 1000);
+    section.reportUnknownKeys();
+
+    requireAtLeast(CountSetting{section, "max_connections", shell.maxConnections},
+                   CountSetting{section, "caller_threads", shell.callerThreads});
+    // Pings and heartbeats are sent at ticks.
+    SettingsSection ownership = files.holder("ownership").section("ownership");
+    SettingsSection membership = files.holder("membership").section("membership");
+    const TimeSetting tick{section, "tick_interval_ms", settings.options.tickInterval};
+    requireAtLeast(TimeSetting{ownership, "ping_interval_ms", settings.options.ownership.pingInterval}, tick);
+    requireAtLeast(TimeSetting{membership, "heartbeat_interval_ms", settings.options.membership.heartbeatInterval},
+                   tick);
+}
+
+void SettingsLoader::readPlatform(SettingsFiles &files, ProxySettings &settings)
+{
+    settings.layout.user = this->readName(files.holder("user"), "user");
+    SettingsSection &holder = files.holder("platform");
+    if (!holder.has("platform")) {
+        holder.report("platform", "the key is missing; expected a mapping with the key address");
+        return;
+    }
+    SettingsSection section = holder.section("platform");
+    settings.platformAddress = this->readAddress(section, "address");
+    section.reportUnknownKeys();
+}
+
+void SettingsLoader::readInstances(SettingsFiles &files, ProxySettings &settings)
+{
+    for (SettingsSection &section : files.holder("instances").list("instances", "at least one instance")) {
+        InstanceSettings instance;
+        instance.name = this->readName(section, "name");
+        this->requireUnique(this->instanceNames, section, "name", instance.name);
+        instance.failureDomain = this->readName(section, "failure_domain");
+        instance.callerAddress = this->readAddress(section, "caller_address");
+        instance.peerAddress = this->readAddress(section, "peer_address");
+        instance.operatorAddress = this->readAddress(section, "operator_address");
+        section.reportUnknownKeys();
+        settings.layout.instances.push_back(std::move(instance));
+    }
+}
+
+void SettingsLoader::readDatabases(SettingsFiles &files, ProxySettings &settings)
+{
+    BackendSettings defaults;
+    SettingsSection defaultSection = files.holder("server_defaults").section("server_defaults");
+    defaultSection.read("slots", defaults.slots, 1, 10000);
+    defaultSection.read("connection_limit", defaults.connectionLimit, 1, 100000);
+    defaultSection.reportUnknownKeys();
+
+    for (SettingsSection &section : files.holder("databases").list("databases", "at least one database")) {
+        DatabaseSettings &database = settings.layout.databases.emplace_back();
+        database.name = this->readName(section, "name");
+        this->requireUnique(this->databaseNames, section, "name", database.name);
+        std::vector<SettingsSection> servers = section.list("servers", "at least two backend servers");
+        for (SettingsSection &server : servers)
+            this->readServer(server, defaults, settings);
+        // A write counts once a second server has it, so a group of one can confirm nothing and has no successor.
+        if (servers.size() == 1) {
+            section.report("servers", "the database has one backend server; expected at least two, because a write is "
+                                      "acknowledged when a second server has it");
+        }
+        section.reportUnknownKeys();
+    }
+}
+
+void SettingsLoader::readServer(SettingsSection &section, const BackendSettings &defaults, ProxySettings &settings)
+{
+    const auto index = static_cast<std::uint32_t>(settings.layout.backends.size());
+    BackendSettings &backend = settings.layout.backends.emplace_back(defaults);
+    backend.database = DatabaseId{.index = static_cast<std::uint32_t>(settings.layout.databases.size() - 1)};
+    backend.name = this->readName(section, "name");
+    this->requireUnique(this->backendNames, section, "name", backend.name);
+    backend.failureDomain = this->readName(section, "failure_domain");
+    backend.address = this->readAddress(section, "address");
+    section.read("slots", backend.slots, 1, 10000);
+    section.read("connection_limit", backend.connectionLimit, 1, 100000);
+    section.reportUnknownKeys();
+    settings.layout.databases.back().backends.push_back(BackendId{.index = index});
+
+    // Each slot needs a connection besides those kept for control.
+    const std::uint32_t reserve = settings.options.ownership.controlReserve;
+    if (backend.connectionLimit < backend.slots + reserve) {
+        const bool limitIsSet = section.has("connection_limit") || !section.has("slots");
+        section.report(limitIsSet ? "connection_limit" : "slots",
+                       "connection_limit is " + std::to_string(backend.connectionLimit) + ", slots is "
+                           + std::to_string(backend.slots) + " and ownership.control_reserve is "
+                           + std::to_string(reserve)
+                           + "; expected connection_limit of at least slots and control_reserve together");
+    }
+}
+
+std::vector<std::string> SettingsLoader::readKeyList(SettingsSection &section, std::string_view key,
+                                                     const std::filesystem::path &settingsFile, bool wanted)
+{
+    const auto name = section.text(key, wanted);
+    if (!name || !wanted)
+        return {};
+    const std::filesystem::path path = settingsFile.parent_path() / *name;
+    std::vector<KeyFileError> errors;
+    std::vector<std::string> keys = readKeyFile(path, errors);
+    for (KeyFileError &error : errors) {
+        // A file that cannot be read is a fault of the line that names it.
+        if (error.line == 0)
+            section.report(key, path.string() + " " + error.text);
+        else
+            this->found.push_back(
+                {.file = path.string(), .line = error.line, .key = std::string(key), .text = std::move(error.text)});
+    }
+    return keys;
+}
+
+void SettingsLoader::readKeys(SettingsFiles &files, ProxySettings &settings)
+{
+    const bool isDaemon = this->settingsPurpose == SettingsPurpose::Daemon;
+    const bool isOperator = this->settingsPurpose == SettingsPurpose::Operators;
+    SettingsSection &holder = files.holder("keys");
+    SettingsSection section = holder.section("keys");
+    const std::filesystem::path &path = files.pathOf(holder);
+    std::vector<std::string> &sessionKeys = settings.options.session.tokenKeys;
+    sessionKeys = this->readKeyList(section, "session_file", path, isDaemon);
+    settings.peerKeys = this->readKeyList(section, "peer_file", path, isDaemon);
+    settings.operatorKeys = this->readKeyList(section, "operator_file", path, isDaemon || isOperator);
+    section.reportUnknownKeys();
+
+    // A key with two uses would let a holder of one act as the other.
+    const auto overlaps = [](const std::vector<std::string> &left, const std::vector<std::string> &right) {
+        return std::ranges::find_first_of(left, right) != left.end();
+    };
+    if (overlaps(settings.peerKeys, sessionKeys))
+        section.report("peer_file", "holds a key of session_file as well; expected different keys");
+    if (overlaps(settings.operatorKeys, sessionKeys) || overlaps(settings.operatorKeys, settings.peerKeys))
+        section.report("operator_file", "holds a key of another file as well; expected different keys");
+}
+
+void SettingsLoader::readSelf(SettingsFiles &files, ProxySettings &settings)
+{
+    const auto name = files.main.text("instance", this->settingsPurpose == SettingsPurpose::Daemon);
+    if (!name)
+        return;
+    settings.self = settings.layout.findInstance(*name);
+    if (settings.self.isValid())
+        return;
+    std::string names;
+    for (const InstanceSettings &instance : settings.layout.instances)
+        names += (names.empty() ? "" : ", ") + instance.name;
+    files.main.report("instance", "\"" + *name + "\" is not in the list of instances; expected one of " + names);
+}
+
+std::optional<ProxySettings> SettingsLoader::load(const std::filesystem::path &file)
+{
+    this->found.clear();
+    this->addresses.clear();
+    this->instanceNames.clear();
+    this->databaseNames.clear();
+    this->backendNames.clear();
+
+    // Open the file and the shared file that it names.
+    const auto mainNode = loadFile(file, this->found);
+    if (!mainNode)
+        return std::nullopt;
+    SettingsFiles files{.mainPath = file,
+                        .sharedPath = {},
+                        .main = SettingsSection(*mainNode, file.string(), {}, this->found),
+                        .shared = std::nullopt};
+    if (const auto fleet = files.main.text("fleet", false)) {
+        files.sharedPath = file.parent_path() / *fleet;
+        const auto sharedNode = loadFile(files.sharedPath, this->found);
+        if (!sharedNode) {
+            files.main.report("fleet", files.sharedPath.string() + " cannot be used; expected a settings file");
+            return std::nullopt;
+        }
+        files.shared.emplace(*sharedNode, files.sharedPath.string(), "", this->found);
+    }
+
+    // Options come first, because the checks of the backend servers need them.
+    ProxySettings settings;
+    this->readOwnership(files, settings);
+    this->readAuthority(files, settings);
+    this->readAdmission(files, settings);
+    this->readMembershipAndRules(files, settings);
+    this->readDrainAndTrace(files, settings);
+    this->readLimits(files, settings);
+    this->readPlatform(files, settings);
+    this->readInstances(files, settings);
+    this->readDatabases(files, settings);
+    this->readKeys(files, settings);
+    this->readSelf(files, settings);
+    files.main.reportUnknownKeys();
+    if (files.shared)
+        files.shared->reportUnknownKeys();
+
+    if (this->found.empty())
+        return settings;
+    this->sortErrors();
+    return std::nullopt;
+}
+
+void SettingsLoader::sortErrors()
+{
+    const auto order = [](const SettingsError &error) {
+        return std::tie(error.file, error.line, error.key, error.text);
+    };
+    std::ranges::sort(this->found, {}, order);
+    // A section that several checks look at reports its own faults each time.
+    const auto same = [&](const SettingsError &left, const SettingsError &right) {
+        return order(left) == order(right);
+    };
+    this->found.erase(std::unique(this->found.begin(), this->found.end(), same), this->found.end());
+}
+
+} // namespace Jujubekeel
