--- a/tests/settings/settingsloadertest.cpp
+++ b/tests/settings/settingsloadertest.cpp
@@ -305,8 +305,10 @@
     ASSERT_TRUE(settings.has_value()) << describeAll(this->errors);
     EXPECT_EQ(settings->peerKeys, (std::vector<std::string>{first, second}));
 
-    for (const std::string &content : {std::string(), first + "\n" + second + "\n" + std::string(32, 'c'),
-                                       first + "\n" + first, std::string(31, 'a'), std::string(40, 'a') + " b"}) {
+    const std::string twice = std::string(first).append("\n").append(first);
+    const std::string three = std::string(first).append("\n").append(second).append("\n").append(32, 'c');
+    const std::string withBlank = std::string(40, 'a').append(" b");
+    for (const std::string &content : {std::string(), three, twice, std::string(31, 'a'), withBlank}) {
         this->write("keys/peer.keys", content);
         EXPECT_FALSE(this->load().has_value()) << content;
         EXPECT_TRUE(this->hasError("keys.peer_file", "expected") || this->hasError("peer_file", "expected"));
