Confirm repeated writes under the present term

Cause: a repeated key is answered with the position of the first run. After a promotion its term is older than the server's, and the confirmation compares positions of one term only, so such a write was never confirmed. Ruled out: taking the older term's confirmation for good; the entry may not be held by a majority under the new term yet. Change: an execution keeps the position to be confirmed apart from the position that is reported. Conclusion: repetitions after a promotion end with ok.

--- a/src/requests/executionsystem.cpp
+++ b/src/requests/executionsystem.cpp
@@ -507,6 +507,7 @@
     // Transactions open and end with their answers.
     const RequestKind kind = row.forward.request.kind;
     bool wrote = true;
+    std::uint64_t term = std::max(row.forward.term, answer.position.term);
     if (kind == RequestKind::Begin) {
         const TransactionId transaction = world.transactions.insert({.backend = row.backend,
                                                                      .session = row.forward.request.session,
@@ -519,6 +520,7 @@
         world.connections.at(row.connection).transaction = transaction;
     } else if (isInTransaction(row) && (kind == RequestKind::Commit || kind == RequestKind::Rollback)) {
         wrote = world.transactions.at(row.transaction).wrote;
+        term = std::max(term, world.transactions.at(row.transaction).term);
         world.connections.at(row.connection).transaction = TransactionId{};
         world.transactions.erase(row.transaction);
         row.transaction = TransactionId{};
@@ -526,10 +528,13 @@
 
     const bool confirmWrite = needsWriteConfirmation(row) && wrote;
     if (confirmWrite || row.forward.barrier) {
+        // A repeated key gives the position of the first run, perhaps of an earlier term: the group must hold it under
+        // the present one.
+        row.confirmAt = LogPosition{.term = term, .position = answer.position.position};
         row.step = ExecutionStep::Confirming;
         world.workAt(row.backend).confirming.push_back(id);
-        if (!ConfirmationSystem::isWriteConfirmed(world, row.backend, answer.position) || row.forward.barrier)
-            ConfirmationSystem::request(world, row.backend);
+        if (!ConfirmationSystem::isWriteConfirmed(world, row.backend, row.confirmAt) || row.forward.barrier)
+            ConfirmationSystem::request(world, row.backend, answer.position.position);
         return;
     }
 
@@ -552,11 +557,10 @@
     std::vector<ExecutionId> done;
     for (const ExecutionId id : confirming) {
         const ExecutionRow &row = world.executions.at(id);
-        const LogPosition position = row.answer.position;
-        const std::uint64_t term = position.term != 0 ? position.term : row.forward.term;
-        const bool written = position.position == 0 || ConfirmationSystem::isWriteConfirmed(world, backend, position);
-        const bool current =
-            !row.forward.barrier || ConfirmationSystem::isReadConfirmed(world, backend, term, row.arrived);
+        const bool written =
+            row.confirmAt.position == 0 || ConfirmationSystem::isWriteConfirmed(world, backend, row.confirmAt);
+        const bool current = !row.forward.barrier
+                             || ConfirmationSystem::isReadConfirmed(world, backend, row.confirmAt.term, row.arrived);
         if (written && current)
             done.push_back(id);
     }
@@ -581,8 +585,11 @@
     }
 
     // What arrived while a barrier was under way needs another.
+    std::uint64_t wanted = 0;
+    for (const ExecutionId id : confirming)
+        wanted = std::max(wanted, world.executions.at(id).confirmAt.position);
     if (!confirming.empty())
-        ConfirmationSystem::request(world, backend);
+        ConfirmationSystem::request(world, backend, wanted);
 }
 
 void ExecutionSystem::tick(World &world, Actions &actions)
