--- /dev/null
+++ b/tools/lib/fleet.sh
@@ -0,0 +1,157 @@
+# Functions that start and stop a fleet of real processes on loopback addresses: the fakes of the outside systems and six
+# proxies with the example settings of one user. Sourced by tools/demo and by the tests in tests/process.
+#
+# Expects: source (checkout), build (build directory). Sets: work (scratch directory).
+
+fleet_pids=()
+declare -A fleet_pid_of
+
+# Says why the run stops, and which step it was in.
+fail() {
+    echo "FAILED in step \"${step:-start}\": $*" >&2
+    exit 1
+}
+
+# Ends every process that this script started. Proxies are killed: planned stops are tested by their own steps.
+stop_fleet() {
+    local pid
+    for pid in "${fleet_pids[@]}"; do
+        kill -CONT "$pid" 2>/dev/null || true
+        kill -KILL "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    fleet_pids=()
+    [ -z "${work:-}" ] || rm -rf "$work"
+}
+
+# start_process NAME COMMAND...: starts a process in the background with its output in a log file.
+start_process() {
+    local name=$1
+    shift
+    "$@" >"$work/$name.log" 2>&1 &
+    fleet_pid_of[$name]=$!
+    fleet_pids+=($!)
+}
+
+# wait_until SECONDS COMMAND...: repeats the command until it succeeds.
+wait_until() {
+    local limit=$1 end
+    shift
+    end=$((SECONDS + limit))
+    until "$@" >/dev/null 2>&1; do
+        [ $SECONDS -lt $end ] || return 1
+        sleep 0.05
+    done
+}
+
+# Milliseconds since an arbitrary moment.
+now_ms() {
+    local time=${EPOCHREALTIME/[.,]/}
+    echo $((time / 1000))
+}
+
+# json_field NAME: prints the first field of that name of the JSON document on standard input; texts come without quotes.
+json_field() {
+    jq -r --arg name "$1" '[.. | objects | select(has($name)) | .[$name]][0] // empty'
+}
+
+# Copies a user's example settings, with its addresses moved to loopback.
+# prepare_settings USER
+prepare_settings() {
+    local user=$1 network
+    network="127.$((RANDOM % 200 + 20))"
+    cp -r "$source/examples/$user" "$work/$user"
+    sed -i -E "s/\b10\.[0-9]+\.([0-9]+\.[0-9]+)/$network.\1/g" "$work/$user"/*.yaml
+}
+
+# Address of the platform in a user's settings.
+platform_address() {
+    sed -n '/^platform:/,/^[a-z]/s/^ *address: *"\?\([0-9.:]*\).*/\1/p' "$work/$1/fleet.yaml" | head -1
+}
+
+# Lists "name address" of all backend servers, grouped by database: "database name address".
+backend_servers() {
+    awk '/^databases:/ {inside = 1; next} /^[a-z]/ {inside = 0}
+         inside && /- name:/ {database = $3}
+         inside && /{ *name:/ {
+             match($0, /name: *[^,]+/); name = substr($0, RSTART + 5, RLENGTH - 5); gsub(/ /, "", name)
+             match($0, /address: *"?[0-9.:]+/); address = substr($0, RSTART + 8, RLENGTH - 8); gsub(/[ "]/, "", address)
+             print database, name, address
+         }' "$work/$1/fleet.yaml"
+}
+
+# instance_address USER INSTANCE KIND: address of an instance; KIND is caller, peer or operator.
+instance_address() {
+    awk -v instance="$2" -v kind="$3_address:" '
+        /- name:/ {current = $3} current == instance && $1 == kind {gsub(/"/, "", $2); print $2; exit}' \
+        "$work/$1/fleet.yaml"
+}
+
+instances_of() {
+    awk '/^instances:/ {inside = 1; next} /^[a-z]/ {inside = 0} inside && /- name:/ {print $3}' "$work/$1/fleet.yaml"
+}
+
+# Starts the fakes and the proxies of a user and waits until all answer.
+# start_user USER SLOTS CONNECTIONS
+start_user() {
+    local user=$1 slots=$2 connections=$3 database name address instance
+    prepare_settings "$user"
+
+    # The platform with its instance list.
+    local listed=()
+    for instance in $(instances_of "$user"); do
+        listed+=("--instance=$instance")
+    done
+    start_process "$user-platform" "$build/bin/fake-platform" --listen="$(platform_address "$user")" "${listed[@]}"
+
+    # Backend servers; the first of each database is the primary of term 1.
+    local databases
+    databases=$(backend_servers "$user" | cut -d' ' -f1 | uniq)
+    for database in $databases; do
+        local rows group first peers
+        rows=$(backend_servers "$user" | awk -v database="$database" '$1 == database')
+        group=$(cut -d' ' -f2 <<<"$rows" | paste -sd,)
+        first=${group%%,*}
+        while read -r _ name address; do
+            peers=()
+            local other otherAddress
+            while read -r _ other otherAddress; do
+                [ "$other" = "$name" ] || peers+=("--peer=$other@$otherAddress")
+            done <<<"$rows"
+            start_process "$name" "$build/bin/fake-backend" --name="$name" --group="$group" --first-primary="$first" \
+                --listen="$address" --slots="$slots" --connection-limit="$connections" "${peers[@]}"
+        done <<<"$rows"
+    done
+
+    for instance in $(instances_of "$user"); do
+        start_proxy "$user" "$instance"
+    done
+    for instance in $(instances_of "$user"); do
+        wait_until 20 curl -sf "http://$(instance_address "$user" "$instance" caller)/v1/health" \
+            || fail "instance $instance does not answer"
+    done
+}
+
+# start_proxy USER INSTANCE
+start_proxy() {
+    start_process "$2" "$build/bin/jujubekeel-proxy" --settings "$work/$1/$2.yaml"
+}
+
+ctl() {
+    "$build/bin/jujubekeel-ctl" "$@"
+}
+
+# request USER INSTANCE DATABASE KIND OPERATION STATEMENT [curl options...]: sends a request and prints the JSON answer.
+request() {
+    local user=$1 instance=$2 database=$3 kind=$4 operation=$5 statement=$6
+    shift 6
+    jq -nc --arg kind "$kind" --arg operation "$operation" --arg statement "$statement" \
+        '{kind: $kind, operation: $operation, statement: $statement, timeout_ms: 5000}' \
+        | curl -s --max-time 20 -H 'Content-Type: application/json' "$@" --data-binary @- \
+            "http://$(instance_address "$user" "$instance" caller)/v1/databases/$database/requests"
+}
+
+# True if a read through an instance succeeds.
+serves_reads() {
+    [ "$(request "$1" "$2" "$3" read probe 'get probe' | json_field code)" = 0 ]
+}
