--- a/src/programs/fake-backend/backenddriver.cpp
+++ b/src/programs/fake-backend/backenddriver.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-BackendDriver::BackendDriver(FakeBackendOptions options) : server(options)
+BackendDriver::BackendDriver(const FakeBackendOptions &options) : server(options)
 {
     for (const std::string &name : options.group) {
         if (name != options.name)
--- a/src/programs/fake-backend/backenddriver.h
+++ b/src/programs/fake-backend/backenddriver.h
@@ -24,7 +24,7 @@
 class BackendDriver final
 {
 public:
-    explicit BackendDriver(FakeBackendOptions options);
+    explicit BackendDriver(const FakeBackendOptions &options);
     ~BackendDriver();
     BackendDriver(const BackendDriver &) = delete;
     BackendDriver &operator=(const BackendDriver &) = delete;
--- a/src/programs/fake-backend/replicationlink.cpp
+++ b/src/programs/fake-backend/replicationlink.cpp
@@ -20,7 +20,8 @@
 namespace {
 
 constexpr std::size_t queueLimit = 1024;
-constexpr int deliveryTimeoutMs = 500;
+/// A server that hangs costs one message this long; the link then connects again.
+const Poco::Timespan deliveryTimeout(0, 500'000);
 
 /// Sends one message over \a session; throws Poco::Exception if it does not arrive.
 void deliver(Poco::Net::HTTPClientSession &session, const std::string &from, const ReplicationMessage &message)
@@ -93,7 +94,7 @@
                 session = std::make_unique<Poco::Net::HTTPClientSession>(Poco::Net::SocketAddress(target));
                 session->setKeepAlive(true);
                 session->setKeepAliveTimeout(Poco::Timespan(3600, 0));
-                session->setTimeout(Poco::Timespan(0, deliveryTimeoutMs * 1000));
+                session->setTimeout(deliveryTimeout);
                 connectedTo = target;
             }
             deliver(*session, this->from, message);
--- a/src/programs/fake-platform/platformservice.cpp
+++ b/src/programs/fake-platform/platformservice.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::string_view objectsPath = "/v1/objects/";
 constexpr std::string_view instancesPath = "/v1/instances/";
-constexpr std::size_t valueLimit = 1024U * 1024;
+constexpr std::size_t valueLimit = std::size_t{1024} * 1024;
 constexpr std::uint64_t longestWaitMs = 60'000;
 
 std::optional<std::uint64_t> parseNumber(const std::string &text)
--- a/src/programs/fake-shared/fakehttpserver.cpp
+++ b/src/programs/fake-shared/fakehttpserver.cpp
@@ -53,8 +53,7 @@
 bool isClosedByPeer(const Poco::Net::StreamSocket &socket)
 {
     try {
-        Poco::Net::StreamSocket copy = socket;
-        return copy.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && copy.available() == 0;
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) && socket.available() == 0;
     } catch (const Poco::Exception &) {
         return true;
     }
@@ -192,7 +191,7 @@
     std::unique_ptr<Poco::Net::TCPServer> server;
 };
 
-FakeHttpServer::FakeHttpServer(FakeHttpServerOptions options, Handler handler, Closed closed)
+FakeHttpServer::FakeHttpServer(const FakeHttpServerOptions &options, Handler handler, Closed closed)
     : state(std::make_unique<State>())
 {
     this->state->table->handler = std::move(handler);
--- a/src/programs/fake-shared/fakehttpserver.h
+++ b/src/programs/fake-shared/fakehttpserver.h
@@ -13,9 +13,9 @@
 
 struct FakeHttpServerOptions
 {
-    std::string address = "127.0.0.1:0";       ///< "ip:port"; port 0 lets the kernel choose
-    int threads = 128;                         ///< connections served at one time, one thread each
-    std::size_t bodyLimit = 16U * 1024 * 1024; ///< bytes in the body of one request
+    std::string address = "127.0.0.1:0";                   ///< "ip:port"; port 0 lets the kernel choose
+    int threads = 128;                                     ///< connections served at one time, one thread each
+    std::size_t bodyLimit = std::size_t{16} * 1024 * 1024; ///< bytes in the body of one request
 };
 
 /// One request as it came in.
@@ -51,7 +51,7 @@
     using Closed = std::function<void(std::uint64_t connection)>;
 
     /// Binds the address at once; throws Poco::Exception if that fails. Both functions are called from several threads.
-    FakeHttpServer(FakeHttpServerOptions options, Handler handler, Closed closed);
+    FakeHttpServer(const FakeHttpServerOptions &options, Handler handler, Closed closed);
     ~FakeHttpServer();
     FakeHttpServer(const FakeHttpServer &) = delete;
     FakeHttpServer &operator=(const FakeHttpServer &) = delete;
--- a/src/programs/fake-shared/jsonlog.cpp
+++ b/src/programs/fake-shared/jsonlog.cpp
@@ -4,7 +4,8 @@
 #define ELPP_THREAD_SAFE
 #include <easylogging++.h>
 
-#include <easylogging++.cc>
+// The package ships the source file in its include folder.
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
 
 #include "programs/fake-shared/jsonlog.h"
 
--- a/tests/fakeprograms/childprogram.h
+++ b/tests/fakeprograms/childprogram.h
@@ -18,8 +18,8 @@
 {
 public:
     ChildProgram(const std::string &program, const std::vector<std::string> &arguments)
-        : handle(Poco::Process::launch(std::string(JUJUBEKEEL_BINARY_DIR) + "/src/programs/" + program + "/" + program,
-                                       arguments, nullptr, &this->outputPipe, nullptr)),
+        : handle(Poco::Process::launch(std::string(JUJUBEKEEL_BINARY_DIR) + "/bin/" + program, arguments, nullptr,
+                                       &this->outputPipe, nullptr)),
           output(this->outputPipe)
     {
     }
--- a/tests/fakeprograms/fakeplatformprogramtest.cpp
+++ b/tests/fakeprograms/fakeplatformprogramtest.cpp
@@ -11,8 +11,8 @@
 {
 protected:
     FakePlatformProgram()
-        : program("fake-platform", {"--list-lag-ms=0", "--instance=p1"}), address(this->program.waitForAddress()),
-          connection(this->address)
+        : program("fake-platform", {"--list-lag-ms=0", "--instance=p1", "--instance=p0"}),
+          address(this->program.waitForAddress()), connection(this->address)
     {
     }
 
@@ -55,9 +55,10 @@
 // Guards against a list that does not follow the instances.
 TEST_F(FakePlatformProgram, InstancesAreListed)
 {
-    EXPECT_EQ(this->connection.get("/v1/instances").body["instances"].size(), 1U);
+    EXPECT_EQ(this->connection.get("/v1/instances").body["instances"].size(), 2U);
     EXPECT_EQ(this->connection.send("PUT", "/v1/instances/p2", R"({"leaving":true})").status, 200);
-    EXPECT_EQ(this->connection.send("DELETE", "/v1/instances/p1").status, 200);
+    for (const std::string name : {"p0", "p1"})
+        EXPECT_EQ(this->connection.send("DELETE", "/v1/instances/" + name).status, 200);
     const nlohmann::json expected = {{{"name", "p2"}, {"leaving", true}}};
     EXPECT_TRUE(waitUntil([&] { return this->connection.get("/v1/instances").body["instances"] == expected; }));
 }
--- a/tests/fakes/fakebackendhistorytest.cpp
+++ b/tests/fakes/fakebackendhistorytest.cpp
@@ -95,7 +95,7 @@
     BackendAnswer control(const std::string &name, const BackendRequest &request)
     {
         const std::uint64_t session = this->group.openControl(name);
-        const BackendAnswer answer = this->group.ask(name, session, request);
+        BackendAnswer answer = this->group.ask(name, session, request);
         this->group.close(name, session);
         return answer;
     }
