Abort statements without a client when a successor terminates sessions

Cause: a statement whose client had closed the session belonged to no session any more, so terminate-others and preempt-lock left it running; its write could take effect after the new owner had looked up its key and found nothing. Ruled out: aborting such a statement at once when its client goes; a real server may still commit it, and the proxies must cope with that. Change: the two operations also abort the statements that the instance left. Conclusion: after terminate-others nothing of other instances runs.

--- a/src/fakes/fakebackend.cpp
+++ b/src/fakes/fakebackend.cpp
@@ -251,6 +251,7 @@
     [[nodiscard]] bool holdsLock(const std::string &instance) const;
     void endSession(std::uint64_t session);
     void endSessions(const std::function<bool(std::uint64_t, const Session &)> &chosen);
+    void abortOrphans(const std::function<bool(const std::string &)> &chosen);
     void answer(TimePoint now, std::uint64_t session, std::uint64_t serial, BackendAnswer answer);
     [[nodiscard]] ServerStatus status(TimePoint now) const;
 
@@ -610,6 +611,14 @@
     }
 }
 
+/// Aborts statements of instances whose clients closed the session: a new owner must not find them running.
+void FakeBackend::State::abortOrphans(const std::function<bool(const std::string &)> &chosen)
+{
+    std::erase_if(this->running, [&](const RunningStatement &statement) {
+        return statement.session == 0 && chosen(statement.instance);
+    });
+}
+
 void FakeBackend::State::answer(TimePoint now, std::uint64_t session, std::uint64_t serial, BackendAnswer answer)
 {
     const auto found = this->sessions.find(session);
@@ -661,6 +670,7 @@
         this->endSessions([&](std::uint64_t id, const Session &other) {
             return id == holder || (!other.login.control && other.login.instance == holderName);
         });
+        this->abortOrphans([&](const std::string &instance) { return instance == holderName; });
     }
     this->lockSession = session;
     return {};
@@ -673,6 +683,7 @@
     this->endSessions([&](std::uint64_t, const Session &other) {
         return !other.login.control && other.login.instance != request.instance;
     });
+    this->abortOrphans([&](const std::string &instance) { return instance != request.instance; });
     return {};
 }
 
--- a/tests/fakes/fakebackendtest.cpp
+++ b/tests/fakes/fakebackendtest.cpp
@@ -193,6 +193,33 @@
     EXPECT_TRUE(group.server("a").log().empty());
 }
 
+// Guards against a write of a dead proxy that takes effect after its successor looked it up and found nothing.
+TEST(FakeBackend, TerminationAbortsStatementsWhoseClientIsGone)
+{
+    FakeGroup group;
+    const auto work = group.openWork("a", "p1");
+    group.send("a", work, write("put k v"));
+    group.close("a", work);
+    const auto control = group.openControl("a", "p2");
+    group.ask("a", control, {.operation = BackendOperation::PreemptLock});
+    EXPECT_EQ(group.status("a").slotsInUse, 0U);
+
+    // The same without preemption: the lock was free and the successor terminates what is left.
+    const auto holder = group.openControl("b", "p1");
+    group.ask("b", holder, {.operation = BackendOperation::Lock});
+    const auto left = group.open("b", "p1", false);
+    group.send("b", *left, read("get k"));
+    group.close("b", *left);
+    group.close("b", holder);
+    const auto successor = group.openControl("b", "p2");
+    ASSERT_EQ(group.ask("b", successor, {.operation = BackendOperation::Lock}).code, BackendStatusCode::Ok);
+    EXPECT_EQ(group.status("b").slotsInUse, 1U);
+    group.ask("b", successor, {.operation = BackendOperation::TerminateOthers});
+    EXPECT_EQ(group.status("b").slotsInUse, 0U);
+    group.run(10ms);
+    EXPECT_TRUE(group.server("a").log().empty());
+}
+
 // Guards against a transaction whose writes show before Commit or take several log entries.
 TEST(FakeBackend, TransactionBecomesOneEntryAtCommit)
 {
