Try replicas that may have caught up with the session

A read soon after a write went to the primary, because a replica's position is known from heartbeats only, up to half a second late. Ruled out: a shorter ping interval; it costs control traffic for every server, also while nobody reads. Change: a replica whose known position is behind the session's mark is tried; the position in its answer decides. A miss goes to the primary at once and pauses such tries at that replica, with a doubling pause. Positions in answers update what the entry knows.

--- a/src/requests/requestsystem.cpp
+++ b/src/requests/requestsystem.cpp
@@ -1,5 +1,6 @@
 #include "requests/requestsystem.h"
 
+#include "authority/groupmonitorsystem.h"
 #include "core/sendtopeer.h"
 #include "core/world.h"
 #include "observe/traceids.h"
@@ -15,6 +16,11 @@
 
 namespace {
 
+/// Pause of reads that are tried at a replica on the chance that it has caught up. The first is the time in which its
+/// known position is renewed anyway; the last keeps a replica that is far behind from costing many reads.
+constexpr Duration minTryAheadPause = std::chrono::milliseconds(250);
+constexpr Duration maxTryAheadPause = std::chrono::seconds(4);
+
 bool changesData(RequestKind kind)
 {
     return kind == RequestKind::Write || kind == RequestKind::Commit;
@@ -425,6 +431,7 @@
     EntryRow &entry = world.entries.at(id);
 
     // The position that the read saw decides, not what was known when the server was chosen.
+    GroupMonitorSystem{}.observePosition(world, entry.backend, answer.position, world.now);
     if (entry.markKnown) {
         const MarkRelation relation = answer.history.relation(answer.position, entry.mark);
         if (relation == MarkRelation::NotSurvived) {
@@ -433,8 +440,14 @@
             return;
         }
         if (relation == MarkRelation::NotReached) {
+            BackendRow &replica = world.at(entry.backend);
+            replica.tryAheadPause = std::clamp(replica.tryAheadPause * 2, minTryAheadPause, maxTryAheadPause);
+            replica.tryAheadFrom = world.now + replica.tryAheadPause;
+            world.counters.add("jujubekeel_replica_behind_total");
             entry.failedBackend = entry.backend;
-            wait(world, entry, ResultCode::MarkNotReached, "the server does not contain the session's writes yet");
+            entry.lastCode = ResultCode::MarkNotReached;
+            entry.lastText = "the server does not contain the session's writes yet";
+            this->attempt(world, id, actions);
             return;
         }
     }
@@ -448,6 +461,7 @@
             return;
         }
         entry.decision.age = *age;
+        world.at(entry.backend).tryAheadPause = Duration{0};
     }
     this->finish(world, id, answer, actions);
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -31,7 +31,10 @@
             continue;
         if (entry.failedBackend == backend)
             continue;
-        if (row.history.relation(row.applied, entry.mark) != MarkRelation::Contained)
+        // The known position may be as old as the last heartbeat; the answer shows what the read really saw.
+        const MarkRelation relation = row.history.relation(row.applied, entry.mark);
+        const bool mayHaveCaughtUp = relation == MarkRelation::NotReached && world.now >= row.tryAheadFrom;
+        if (relation != MarkRelation::Contained && !mayHaveCaughtUp)
             continue;
         const std::optional<Duration> age = database.ageSamples.age(row.applied, row.history, world.now);
         if (!age || *age > *entry.acceptedAge)
@@ -39,7 +42,9 @@
         if (best.found && preference(world, best.backend) <= preference(world, backend))
             continue;
         best = Route{.found = true, .backend = backend, .owner = row.owner, .age = age};
-        best.reason = "nearest replica within the accepted age that contains the session's writes";
+        best.reason = mayHaveCaughtUp
+                          ? "nearest replica within the accepted age; the answer is checked for the session's writes"
+                          : "nearest replica within the accepted age that contains the session's writes";
     }
     return best;
 }
