Add the virtual fleet, the history checker and jujubekeel-bench

Cause: faults can be tested only with several proxies and servers together. Ruled out: processes in real time (slow, not repeatable); checks inside the core (they would share its errors).

--- /dev/null
+++ b/src/programs/jujubekeel-bench/main.cpp
@@ -0,0 +1,149 @@
+#include "benchtable.h"
+
+#include <docopt/docopt.h>
+
+#include <cstdio>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Jujubekeel {
+
+namespace {
+
+constexpr const char *usage =
+    R"(jujubekeel-bench runs the decision library in virtual time and prints one table and a state hash.
+
+Usage:
+  jujubekeel-bench [--seed=NUMBER] [--seeds=COUNT] [--user=NAME] [--scenario=NAME]
+  jujubekeel-bench (-h | --help)
+
+Options:
+  --seed=NUMBER    First seed [default: 1].
+  --seeds=COUNT    Number of seeds for each case [default: 5].
+  --user=NAME      association, hjolasmidja or all [default: all].
+  --scenario=NAME  healthy, faults, failover, authority, primary-only, capacity or all [default: all].
+  -h --help        Show this text.
+)";
+
+constexpr Duration killedGapTarget = std::chrono::seconds(3);
+constexpr Duration killedMedianTarget = std::chrono::seconds(1);
+constexpr Duration cutOffGapTarget = std::chrono::seconds(10);
+// The fault outlasts the load, so that the gap ends with a promotion and not with the return of the old primary.
+constexpr Duration lastingFault = std::chrono::seconds(60);
+constexpr std::uint32_t gapRequestsPerSecond = 300; // 100 writes/s for each database: resolution of about 10 ms
+constexpr Duration capacityServiceTime = std::chrono::milliseconds(5);
+
+BenchCase gapCase(FleetUser user, FaultCase fault, const std::string &name)
+{
+    BenchCase result{.name = name, .options = {.user = user}, .hasGap = true};
+    result.options.faults = {{.fault = fault, .lasts = lastingFault}};
+    result.options.load = std::chrono::seconds(14);
+    result.options.onlyWrites = true;
+    result.options.workload.requestsPerSecond = gapRequestsPerSecond;
+    result.gapTarget = fault == FaultCase::PrimaryKilled ? killedGapTarget : cutOffGapTarget;
+    if (fault == FaultCase::PrimaryKilled)
+        result.medianTarget = killedMedianTarget;
+    return result;
+}
+
+std::vector<BenchCase> makeCases(FleetUser user, const std::string &scenario)
+{
+    std::vector<BenchCase> cases;
+    const auto wanted = [&](const char *name) { return scenario == "all" || scenario == name; };
+
+    if (wanted("healthy"))
+        cases.push_back(BenchCase{.name = "healthy", .options = {.user = user}, .hasReplicaTarget = true});
+    if (wanted("faults")) {
+        for (const FaultCase fault : allFaultCases()) {
+            BenchCase entry{.name = std::string(faultCaseName(fault)), .options = {.user = user}, .hasGap = true};
+            entry.options.faults = {{.fault = fault}};
+            cases.push_back(std::move(entry));
+        }
+    }
+    if (wanted("failover")) {
+        cases.push_back(gapCase(user, FaultCase::PrimaryKilled, "failover, primary killed"));
+        cases.push_back(gapCase(user, FaultCase::PrimaryCutOff, "failover, primary cut off"));
+    }
+    if (wanted("authority")) {
+        const std::vector<std::pair<std::string, AuthorityPolicy>> policies{
+            {"confirmation", AuthorityPolicy::GroupConfirmation},
+            {"lease", AuthorityPolicy::PlatformLease},
+            {"lease and confirmation", AuthorityPolicy::LeaseAndConfirmation}};
+        for (const auto &[name, policy] : policies) {
+            for (const FaultCase fault :
+                 {FaultCase::PrimaryKilled, FaultCase::PrimaryCutOff, FaultCase::PlatformDown}) {
+                BenchCase entry = gapCase(user, fault, name + ", " + std::string(faultCaseName(fault)));
+                entry.options.proxy.authority.policy = policy;
+                // The targets are those of the chosen policy; the rows of the others show its price.
+                entry.gapTarget = Duration{0};
+                entry.medianTarget = Duration{0};
+                cases.push_back(std::move(entry));
+            }
+        }
+    }
+    if (wanted("primary-only")) {
+        BenchCase entry{.name = "reads at the primary, fixed timeout 1 s", .options = {.user = user}};
+        entry.options.primaryOnly = true;
+        entry.options.workload.timeout = std::chrono::seconds(1);
+        cases.push_back(std::move(entry));
+    }
+    if (wanted("capacity")) {
+        // Writes use the slots of the primaries alone, so their capacity follows from slots and service time.
+        const FleetLayout layout = makeUserProfile(user).layout;
+        const double capacity = static_cast<double>(layout.databases.size() * layout.backends.front().slots) * 1e6
+                                / static_cast<double>(capacityServiceTime.count());
+        for (const int factor : {1, 2}) {
+            BenchCase entry{.name = factor == 1 ? "capacity" : "twice the capacity", .options = {.user = user}};
+            entry.offered = capacity * factor;
+            entry.options.serviceTime = capacityServiceTime;
+            entry.options.onlyWrites = true;
+            entry.options.load = std::chrono::seconds(6);
+            entry.options.workload.requestsPerSecond = static_cast<std::uint32_t>(entry.offered);
+            entry.options.workload.transactionPercent = 0;
+            entry.options.workload.timeout = std::chrono::seconds(1);
+            cases.push_back(std::move(entry));
+        }
+    }
+    return cases;
+}
+
+int runBench(int argc, const char **argv)
+{
+    const std::map<std::string, docopt::value> arguments =
+        docopt::docopt(usage, std::vector<std::string>(argv + 1, argv + argc), true, "jujubekeel-bench");
+    const long seed = arguments.at("--seed").asLong();
+    const long seeds = arguments.at("--seeds").asLong();
+    const std::string user = arguments.at("--user").asString();
+    const std::string scenario = arguments.at("--scenario").asString();
+
+    // Users and cases.
+    std::vector<BenchCase> cases;
+    for (const FleetUser candidate : {FleetUser::Association, FleetUser::Hjolasmidja}) {
+        if (user == "all" || user == fleetUserName(candidate)) {
+            for (BenchCase &entry : makeCases(candidate, scenario))
+                cases.push_back(std::move(entry));
+        }
+    }
+    if (cases.empty() || seed < 0 || seeds < 1) {
+        std::fprintf(stderr, "jujubekeel-bench: no such user or scenario, or a seed out of range; see --help\n");
+        return 2;
+    }
+
+    BenchTable table(static_cast<std::uint64_t>(seed), static_cast<std::uint64_t>(seeds));
+    table.printHeader();
+    for (const BenchCase &entry : cases)
+        table.run(entry);
+    table.printTargets();
+    std::printf("\nstate hash %016llx\n", static_cast<unsigned long long>(table.stateHash()));
+    return 0;
+}
+
+} // namespace
+
+} // namespace Jujubekeel
+
+int main(int argc, const char **argv)
+{
+    return Jujubekeel::runBench(argc, argv);
+}
--- /dev/null
+++ b/src/virtualfleet/scenario.cpp
@@ -0,0 +1,353 @@
+#include "virtualfleet/scenario.h"
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace Jujubekeel {
+
+namespace {
+
+constexpr std::array faultCases{FaultCase::ProxyKilled,     FaultCase::ProxyPaused,      FaultCase::PrimaryKilled,
+                                FaultCase::PrimaryCutOff,   FaultCase::ReplicaFarBehind, FaultCase::DomainCutOff,
+                                FaultCase::PlatformDown,    FaultCase::PlatformSlow,     FaultCase::PlatformAnswerLost,
+                                FaultCase::OperatorsRacing, FaultCase::ConnectionSilent, FaultCase::InstanceLeaving,
+                                FaultCase::ProxyStopped,    FaultCase::BackendLeaving};
+constexpr std::array<std::string_view, faultCases.size()> faultCaseNames{
+    "ProxyKilled",      "ProxyPaused",     "PrimaryKilled", "PrimaryCutOff",      "ReplicaFarBehind",
+    "DomainCutOff",     "PlatformDown",    "PlatformSlow",  "PlatformAnswerLost", "OperatorsRacing",
+    "ConnectionSilent", "InstanceLeaving", "ProxyStopped",  "BackendLeaving"};
+constexpr std::array faultSteps{FaultStep::AtTime,     FaultStep::BeforeSending, FaultStep::Sent,
+                                FaultStep::Answered,   FaultStep::InCommit,      FaultStep::InPromotion,
+                                FaultStep::InHandover, FaultStep::InDrain};
+constexpr std::array<std::string_view, faultSteps.size()> faultStepNames{
+    "AtTime", "BeforeSending", "Sent", "Answered", "InCommit", "InPromotion", "InHandover", "InDrain"};
+
+constexpr Duration slowPlatform = std::chrono::milliseconds(1500);
+constexpr Duration farBehind = std::chrono::seconds(6); // longer than the short accepted age of the profiles
+constexpr std::uint32_t lostAnswers = 5;
+// A proxy that was killed must come back soon enough for its handover to fall into the load.
+constexpr Duration handoverRestart = std::chrono::seconds(2);
+constexpr Duration drainDelay = std::chrono::milliseconds(1);
+
+/// Injects the faults of one scenario when their steps are reached.
+class FaultPlan final
+{
+public:
+    FaultPlan(VirtualFleet &drivenFleet, const UserProfile &userProfile, const std::vector<ScenarioFault> &faults)
+        : fleet(drivenFleet), profile(userProfile)
+    {
+        for (const ScenarioFault &fault : faults)
+            this->plans.push_back(Plan{.fault = fault, .isArmed = false, .struckAt = std::nullopt});
+    }
+
+    void start(TimePoint loadStart)
+    {
+        this->fleet.setWireHandler([this](const WireEvent &event) { this->handle(event); });
+        for (std::size_t index = 0; index < this->plans.size(); ++index)
+            this->fleet.schedule(loadStart + this->plans[index].fault.after, [this, index] { this->arm(index); });
+    }
+
+    [[nodiscard]] std::vector<bool> struck() const
+    {
+        std::vector<bool> result;
+        for (const Plan &plan : this->plans)
+            result.push_back(plan.struckAt.has_value());
+        return result;
+    }
+    [[nodiscard]] std::optional<TimePoint> firstStrike() const
+    {
+        std::optional<TimePoint> first;
+        for (const Plan &plan : this->plans) {
+            if (plan.struckAt && (!first || *plan.struckAt < *first))
+                first = plan.struckAt;
+        }
+        return first;
+    }
+
+private:
+    struct Plan
+    {
+        ScenarioFault fault;
+        bool isArmed = false;
+        std::optional<TimePoint> struckAt;
+    };
+
+    [[nodiscard]] std::uint32_t ownerOfPrimary() const
+    {
+        const std::uint32_t owner = this->fleet.ownerOf(this->fleet.primaryOf(0));
+        return owner < this->profile.layout.instances.size() ? owner : 0;
+    }
+
+    /// The planned time has come: prepares the step and waits for it.
+    void arm(std::size_t index)
+    {
+        Plan &plan = this->plans[index];
+        plan.isArmed = true;
+        switch (plan.fault.step) {
+        case FaultStep::AtTime:
+            this->strike(index);
+            break;
+        case FaultStep::InPromotion: {
+            const std::uint32_t primary = this->fleet.primaryOf(0);
+            this->fleet.apply(KillBackend{.backend = primary});
+            this->fleet.schedule(this->fleet.now() + plan.fault.lasts,
+                                 [this, primary] { this->fleet.apply(RestartBackend{.backend = primary}); });
+            break;
+        }
+        case FaultStep::InHandover: {
+            // The best-ranked owner fails and returns, so that the next owner hands the server back to it.
+            const std::uint32_t owner = this->ownerOfPrimary();
+            this->fleet.apply(KillProxy{.proxy = owner});
+            this->fleet.schedule(this->fleet.now() + handoverRestart,
+                                 [this, owner] { this->fleet.apply(RestartProxy{.proxy = owner}); });
+            break;
+        }
+        case FaultStep::InDrain: {
+            const std::uint32_t owner = this->ownerOfPrimary();
+            this->fleet.apply(StopProxy{.proxy = owner});
+            this->fleet.schedule(this->fleet.now() + drainDelay, [this, index] { this->strike(index); });
+            this->fleet.schedule(this->fleet.now() + plan.fault.lasts,
+                                 [this, owner] { this->fleet.apply(RestartProxy{.proxy = owner}); });
+            break;
+        }
+        default:
+            break;
+        }
+    }
+
+    [[nodiscard]] bool isReached(const Plan &plan, const WireEvent &event) const
+    {
+        const bool isFirstDatabase = this->profile.layout.backends[event.backend].database.index == 0;
+        if (!isFirstDatabase)
+            return false;
+        const bool isWrite =
+            event.operation == BackendOperation::Execute && event.write && event.backend == this->fleet.primaryOf(0);
+        switch (plan.fault.step) {
+        case FaultStep::BeforeSending:
+            // At another proxy than the owner, so that the write still has to travel there.
+            return isWrite && event.point == WirePoint::CallerArrived && event.proxy != this->ownerOfPrimary();
+        case FaultStep::Sent:
+            return isWrite && event.point == WirePoint::RequestSent;
+        case FaultStep::Answered:
+            return isWrite && event.point == WirePoint::AnswerSent;
+        case FaultStep::InCommit:
+            return event.operation == BackendOperation::Commit && event.point == WirePoint::RequestArrived;
+        case FaultStep::InPromotion:
+            // The new primary can be hit only once it is one.
+            if (plan.fault.fault == FaultCase::PrimaryKilled || plan.fault.fault == FaultCase::PrimaryCutOff)
+                return event.operation == BackendOperation::Promote && event.point == WirePoint::AnswerSent;
+            return event.operation == BackendOperation::Fence && event.point == WirePoint::RequestArrived;
+        case FaultStep::InHandover:
+            return event.operation == BackendOperation::Unlock && event.point == WirePoint::RequestArrived;
+        case FaultStep::AtTime:
+        case FaultStep::InDrain:
+            return false;
+        }
+        return false;
+    }
+
+    void handle(const WireEvent &event)
+    {
+        for (std::size_t index = 0; index < this->plans.size(); ++index) {
+            const Plan &plan = this->plans[index];
+            if (plan.isArmed && !plan.struckAt && this->isReached(plan, event)) {
+                // After the event at hand, so that a proxy does not end within its own step.
+                this->plans[index].struckAt = this->fleet.now();
+                this->fleet.schedule(this->fleet.now(), [this, index] { this->strike(index); });
+            }
+        }
+    }
+
+    void strike(std::size_t index)
+    {
+        Plan &plan = this->plans[index];
+        plan.struckAt = this->fleet.now();
+        const std::uint32_t owner = this->ownerOfPrimary();
+        const std::uint32_t primary = this->fleet.primaryOf(0);
+        const std::string domain = this->profile.layout.backends[primary].failureDomain;
+        switch (plan.fault.fault) {
+        case FaultCase::ProxyKilled:
+            this->inject(plan, KillProxy{.proxy = owner}, RestartProxy{.proxy = owner});
+            break;
+        case FaultCase::ProxyPaused:
+            this->inject(plan, PauseProxy{.proxy = owner}, ResumeProxy{.proxy = owner});
+            break;
+        case FaultCase::PrimaryKilled:
+            this->inject(plan, KillBackend{.backend = primary}, RestartBackend{.backend = primary});
+            break;
+        case FaultCase::PrimaryCutOff:
+            this->inject(plan, CutPrimaryFromGroup{.database = 0}, HealLinks{});
+            break;
+        case FaultCase::ReplicaFarBehind:
+            this->inject(plan, SetReplicaLag{.database = 0, .lag = farBehind},
+                         SetReplicaLag{.database = 0, .lag = Duration{0}});
+            break;
+        case FaultCase::DomainCutOff:
+            this->inject(plan, CutDomain{.failureDomain = domain}, HealLinks{});
+            break;
+        case FaultCase::PlatformDown:
+            this->inject(plan, SetPlatformDown{.down = true}, SetPlatformDown{.down = false});
+            break;
+        case FaultCase::PlatformSlow:
+            this->inject(plan, SetPlatformLatency{.latency = slowPlatform},
+                         SetPlatformLatency{.latency = std::chrono::milliseconds(3)});
+            break;
+        case FaultCase::PlatformAnswerLost:
+            // A change of the rules makes sure that there is an answer to lose.
+            this->inject(plan, LosePlatformAnswers{.count = lostAnswers}, LosePlatformAnswers{.count = 0});
+            this->fleet.apply(ChangeRules{.author = "operator", .text = this->extendedRules("extra")});
+            break;
+        case FaultCase::OperatorsRacing:
+            this->fleet.apply(
+                RaceOperators{.firstText = this->extendedRules("first"), .secondText = this->extendedRules("second")});
+            break;
+        case FaultCase::ConnectionSilent:
+            this->fleet.apply(SilenceConnection{.database = 0});
+            break;
+        case FaultCase::InstanceLeaving:
+            this->inject(plan, LeaveInstance{.proxy = owner, .leaving = true},
+                         LeaveInstance{.proxy = owner, .leaving = false});
+            break;
+        case FaultCase::ProxyStopped:
+            this->inject(plan, StopProxy{.proxy = owner}, RestartProxy{.proxy = owner});
+            break;
+        case FaultCase::BackendLeaving:
+            this->fleet.apply(ChangeRules{.author = "operator",
+                                          .text = this->profile.rules + "leaving backend "
+                                                  + this->profile.layout.backends[primary].name
+                                                  + " # operator: rack change\n"});
+            break;
+        }
+    }
+
+    [[nodiscard]] std::string extendedRules(const std::string &name) const
+    {
+        const std::string pattern = this->profile.layout.databases.front().name;
+        return this->profile.rules + "no-repeat " + pattern + " " + name + ".* # " + name
+               + " operator: test of changes\n";
+    }
+
+    void inject(const Plan &plan, const Fault &fault, const Fault &heal)
+    {
+        this->fleet.apply(fault);
+        this->fleet.schedule(this->fleet.now() + plan.fault.lasts, [this, heal] { this->fleet.apply(heal); });
+    }
+
+    VirtualFleet &fleet;
+    const UserProfile &profile;
+    std::vector<Plan> plans;
+};
+
+/// Longest time between two acknowledged writes from \a from on; the end of the load counts as a write.
+Duration longestGap(const std::vector<TimePoint> &writes, TimePoint from, TimePoint end)
+{
+    Duration longest{0};
+    TimePoint last = from;
+    for (const TimePoint write : writes) {
+        if (write < from) {
+            continue;
+        }
+        longest = std::max(longest, std::min(write, end) - last);
+        last = std::min(write, end);
+    }
+    return std::max(longest, end - last);
+}
+
+} // namespace
+
+std::span<const FaultCase> allFaultCases()
+{
+    return faultCases;
+}
+
+std::span<const FaultStep> allFaultSteps()
+{
+    return faultSteps;
+}
+
+std::string_view faultCaseName(FaultCase fault)
+{
+    return faultCaseNames.at(static_cast<std::size_t>(fault));
+}
+
+std::string_view faultStepName(FaultStep step)
+{
+    return faultStepNames.at(static_cast<std::size_t>(step));
+}
+
+ScenarioResult runScenario(const ScenarioOptions &options)
+{
+    UserProfile profile = makeUserProfile(options.user);
+    if (options.primaryOnly) {
+        profile.rules = profile.shortRules;
+        profile.acceptedAge = Duration{-1};
+        profile.briefAge = Duration{-1};
+    }
+    if (options.onlyWrites)
+        profile.writePercent = 100;
+    VirtualFleet fleet(VirtualFleetOptions{.layout = profile.layout,
+                                           .rules = profile.rules,
+                                           .seed = options.seed,
+                                           .serviceTime = options.serviceTime,
+                                           .proxy = options.proxy});
+    const TimePoint loadStart = fleet.now() + options.warmUp;
+    const TimePoint loadEnd = loadStart + options.load;
+
+    WorkloadOptions workloadOptions = options.workload;
+    workloadOptions.seed = options.seed * 7919 + 1; // another sequence than that of the fleet
+    workloadOptions.start = loadStart;
+    workloadOptions.duration = options.load;
+    Workload workload(fleet, profile, workloadOptions);
+    FaultPlan plan(fleet, profile, options.faults);
+    workload.start();
+    plan.start(loadStart);
+
+    // Warm-up, load with faults, then everything is healed and the fleet settles.
+    fleet.runUntil(loadStart);
+    fleet.resetTraffic();
+    fleet.runUntil(loadEnd);
+    ScenarioResult result;
+    result.traffic = fleet.traffic();
+    result.loadTime = options.load;
+    fleet.healAll();
+    fleet.runUntil(loadEnd + options.settle);
+
+    result.struck = plan.struck();
+    result.load = workload.figures();
+    const std::string &firstDatabase = profile.layout.databases.front().name;
+    result.longestWriteGap =
+        longestGap(result.load.writeTimes[firstDatabase], plan.firstStrike().value_or(loadStart), loadEnd);
+    for (const auto &[database, times] : result.load.writeTimes) {
+        const auto inTime = std::ranges::count_if(times, [&](TimePoint time) { return time <= loadEnd; });
+        result.writesInTime += static_cast<std::uint64_t>(inTime);
+    }
+    fleet.fillHistory(workload.history());
+    result.history = std::move(workload.history());
+    HistoryChecker checker(result.history);
+    result.violations = checker.check();
+    result.writes = checker.writeFigures();
+    for (const HistoryBackend &backend : result.history.backends) {
+        result.slotRefusals += backend.slotRefusals;
+        result.connectionRefusals += backend.connectionRefusals;
+    }
+    result.stateHash = fleet.stateHash();
+    return result;
+}
+
+std::string describeViolations(std::span<const Violation> violations, std::size_t limit)
+{
+    std::string text;
+    for (std::size_t index = 0; index < std::min(limit, violations.size()); ++index) {
+        const Violation &violation = violations[index];
+        text += std::string(guaranteeName(violation.guarantee)) + " at " + std::to_string(violation.at.count())
+                + " us, request " + std::to_string(violation.ticket) + ": " + violation.reason + "\n";
+    }
+    if (violations.size() > limit)
+        text += "and " + std::to_string(violations.size() - limit) + " more\n";
+    return text;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/virtualfleet/virtualfleet.h
@@ -0,0 +1,234 @@
+#pragma once
+
+#include "core/proxycore.h"
+#include "fakes/fakebackend.h"
+#include "fakes/fakeplatform.h"
+#include "virtualfleet/eventqueue.h"
+#include "virtualfleet/fault.h"
+#include "virtualfleet/history.h"
+#include "virtualfleet/ruleoperator.h"
+#include "virtualfleet/seededrandom.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Jujubekeel {
+
+struct VirtualFleetOptions
+{
+    FleetLayout layout;
+    std::string rules; ///< accepted before the start
+    std::uint64_t seed = 1;
+    Duration latency = std::chrono::milliseconds(1);        ///< one way, between any two nodes but callers
+    Duration jitter = std::chrono::microseconds(200);       ///< added to each message, evenly distributed
+    Duration callerLatency = std::chrono::milliseconds(1);  ///< one way
+    Duration connectTime = std::chrono::milliseconds(10);   ///< opening a backend connection
+    Duration connectTimeout = std::chrono::seconds(3);      ///< of an attempt without an answer
+    Duration platformTimeout = std::chrono::seconds(2);     ///< the shell's limit, beyond the wait of a watch
+    Duration deadSessionTimeout = std::chrono::seconds(10); ///< a server closes a session whose client vanished
+    Duration serviceTime = std::chrono::milliseconds(3);    ///< of one statement
+    Duration listLag = std::chrono::seconds(5);             ///< of the platform's instance list
+    ProxyOptions proxy;
+};
+
+/// Result of a request for its caller.
+struct CallerEvent
+{
+    std::uint64_t ticket = 0;
+    CallerOutcome outcome = CallerOutcome::Answered;
+    CallerAnswer answer;
+};
+
+enum class WirePoint : std::uint8_t {
+    CallerArrived,  ///< a caller's request is at its entry proxy
+    RequestSent,    ///< a proxy has handed a request for a backend server to the network
+    RequestArrived, ///< the backend server has taken it
+    AnswerSent,     ///< the backend server has handed the answer to the network
+};
+
+/// A point in the way of a request, for injecting faults at a step. For CallerArrived, the backend server is the primary
+/// of the database.
+struct WireEvent
+{
+    WirePoint point = WirePoint::RequestSent;
+    BackendOperation operation = BackendOperation::Status;
+    std::uint32_t proxy = 0;
+    std::uint32_t backend = 0;
+    bool write = false;
+};
+
+/// Traffic of the fleet since the last reset.
+struct FleetTraffic
+{
+    std::uint64_t peerMessages = 0;
+    std::uint64_t peerBytes = 0; ///< estimated from the contents
+    std::uint64_t platformCalls = 0;
+    std::uint64_t platformFailures = 0; ///< calls without an answer
+};
+
+/// Drives proxies, backend servers and the platform of one user in virtual time, with faults. Deterministic for a seed.
+/// A test driver, owned by the test or the benchmark and used by one thread.
+class VirtualFleet final
+{
+public:
+    explicit VirtualFleet(VirtualFleetOptions options);
+
+    [[nodiscard]] TimePoint now() const { return this->queue.now(); }
+    void schedule(TimePoint due, std::function<void()> work) { this->queue.add(due, std::move(work)); }
+    void runUntil(TimePoint end);
+
+    /// Injects a fault at the present time.
+    void apply(const Fault &fault);
+    /// Ends all faults: heals links, restarts and resumes what stopped, brings the platform back.
+    void healAll();
+    void cutLink(std::uint32_t left, std::uint32_t right);
+    void healLink(std::uint32_t left, std::uint32_t right);
+    // Numbers of nodes for links.
+    [[nodiscard]] std::uint32_t proxyNode(std::uint32_t proxy) const { return proxy; }
+    [[nodiscard]] std::uint32_t backendNode(std::uint32_t backend) const;
+    [[nodiscard]] std::uint32_t platformNode() const;
+    [[nodiscard]] std::uint32_t callerNode() const;
+
+    /// Sends a caller's request to a proxy. The ticket must be unique in the run.
+    void send(std::uint32_t proxy, const CallerRequest &request);
+    /// The caller closes its connection.
+    void abandon(std::uint64_t ticket);
+
+    void setCallerHandler(std::function<void(const CallerEvent &)> handler)
+    {
+        this->callerHandler = std::move(handler);
+    }
+    void setWireHandler(std::function<void(const WireEvent &)> handler) { this->wireHandler = std::move(handler); }
+
+    /// Server with the role of the primary under the highest term, killed servers included.
+    [[nodiscard]] std::uint32_t primaryOf(std::uint32_t database) const;
+    /// Proxy that holds the lock of a server; the number of proxies if none does.
+    [[nodiscard]] std::uint32_t ownerOf(std::uint32_t backend) const;
+    [[nodiscard]] bool isProxyUp(std::uint32_t proxy) const { return this->proxies.at(proxy).core != nullptr; }
+    [[nodiscard]] const ProxyCore *core(std::uint32_t proxy) const { return this->proxies.at(proxy).core.get(); }
+    [[nodiscard]] std::uint64_t incarnation(std::uint32_t proxy) const { return this->proxies.at(proxy).incarnation; }
+    [[nodiscard]] const FleetLayout &layout() const { return this->options.layout; }
+    [[nodiscard]] const FakePlatform &platform() const { return *this->platformFake; }
+    [[nodiscard]] const FleetTraffic &traffic() const { return this->trafficCounts; }
+    void resetTraffic() { this->trafficCounts = FleetTraffic{}; }
+    /// Hash over all proxies and logs.
+    [[nodiscard]] std::uint64_t stateHash() const;
+    /// Adds what the servers hold, the rule changes, outages and stops to a history.
+    void fillHistory(History &history) const;
+
+private:
+    struct ProxyNode
+    {
+        std::unique_ptr<ProxyCore> core;
+        std::uint64_t incarnation = 0;
+        bool paused = false;
+        std::vector<Input> held;
+        std::map<ConnectionId, std::uint64_t> sessions; ///< connections that the core knows
+        std::set<std::uint64_t> tickets;                ///< requests without an answer
+    };
+    struct BackendNode
+    {
+        std::unique_ptr<FakeBackend> server;
+        bool up = true;
+        std::uint64_t starts = 1;
+        TimePoint wakeAt{0};
+        std::vector<TimePoint> workStarts;
+    };
+    /// One connection between a proxy and a server; each side learns of the other's end by a message.
+    struct Connection
+    {
+        std::uint32_t proxy = 0;
+        std::uint64_t incarnation = 0;
+        ConnectionId core;
+        std::uint32_t backend = 0;
+        bool control = false;
+        bool openAtProxy = true;
+        bool openAtBackend = false;
+        bool silent = false; ///< a message was lost; nothing passes any more
+        BackendOperation operation = BackendOperation::Status;
+        bool write = false;
+        TimePoint lastToBackend{0};
+        TimePoint lastToProxy{0};
+    };
+    struct PlatformWait
+    {
+        std::uint32_t proxy = 0;
+        std::uint64_t incarnation = 0;
+    };
+
+    // Proxies.
+    void startProxy(std::uint32_t proxy);
+    void endProxy(std::uint32_t proxy);
+    void resumeProxy(std::uint32_t proxy);
+    void scheduleTick(std::uint32_t proxy, std::uint64_t incarnation);
+    void deliver(std::uint32_t proxy, std::uint64_t incarnation, Input input);
+    void step(std::uint32_t proxy, const Input &input);
+    void perform(std::uint32_t proxy, Action &action);
+    void sendPeer(std::uint32_t from, std::uint32_t to, PeerMessage message);
+    void answerCaller(std::uint32_t proxy, CallerAnswer answer);
+    void callPlatform(std::uint32_t proxy, const PlatformCall &call);
+
+    // Backend servers.
+    void openConnection(std::uint32_t proxy, const OpenConnection &action);
+    void sendToBackend(std::uint32_t proxy, SendToBackend action);
+    void closeFromProxy(std::uint64_t session);
+    void reapSession(std::uint64_t session);
+    void connectionLost(std::uint64_t session);
+    void flushBackend(std::uint32_t backend);
+    void sendReplication(std::uint32_t from, std::uint32_t to, ReplicationMessage message);
+    void killBackend(std::uint32_t backend);
+    void restartBackend(std::uint32_t backend);
+    void silenceConnection(std::uint32_t database);
+
+    // Platform and operators.
+    void flushPlatform();
+    void startOperator(const std::string &author, const std::string &text);
+    void runOperator(std::size_t number);
+    void operatorAnswered(std::size_t number);
+
+    [[nodiscard]] bool isCut(std::uint32_t left, std::uint32_t right) const;
+    [[nodiscard]] Duration delay();
+    [[nodiscard]] TimePoint orderedArrival(TimePoint &last);
+    void updateOutages();
+    void setOutage(std::map<std::uint32_t, TimePoint> &open, std::vector<HistoryOutage> &closed, std::uint32_t proxy,
+                   bool isOut);
+    void notifyCaller(std::uint64_t ticket, CallerOutcome outcome, CallerAnswer answer);
+
+    VirtualFleetOptions options;
+    SeededRandom random;
+    EventQueue queue;
+    std::vector<ProxyNode> proxies;
+    std::vector<BackendNode> backends;
+    std::unique_ptr<FakePlatform> platformFake;
+    TimePoint platformWakeAt{0};
+    std::map<std::pair<std::uint64_t, std::uint64_t>, PlatformWait> platformWaits; ///< by client and call
+    std::map<std::uint64_t, Connection> connections;                               ///< by session
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> cuts;         ///< links, with number of cuts
+    std::map<std::pair<std::uint32_t, std::uint32_t>, TimePoint> lastArrivals;     ///< ordered messages between nodes
+    std::vector<RuleOperator> operators;
+    std::vector<HistoryRuleChange> ruleChanges;
+    std::vector<HistoryOutage> outages;
+    std::vector<HistoryOutage> disconnections;
+    std::map<std::uint32_t, TimePoint> openOutages; ///< by proxy: start
+    std::map<std::uint32_t, TimePoint> openDisconnections;
+    std::vector<HistoryStop> stops;
+    std::uint64_t nextSession = 1;
+    std::uint64_t nextOperatorCall = 1;
+    std::uint32_t faultCount = 0;
+    bool platformImpaired = false; ///< down or slow
+    FleetTraffic trafficCounts;
+    std::function<void(const CallerEvent &)> callerHandler;
+    std::function<void(const WireEvent &)> wireHandler;
+};
+
+/// Estimated size of a peer message on the wire: the lengths of its texts and eight bytes for each number.
+[[nodiscard]] std::uint64_t estimateBytes(const PeerMessage &message);
+
+} // namespace Jujubekeel
