--- a/src/core/databaserow.h
+++ b/src/core/databaserow.h
@@ -100,7 +100,7 @@
     TermHistory history;        ///< newest that was seen
     TimePoint lastPromotion{0}; ///< when the present primary became known
     PromotionState promotion;
-    AgeSamples ageSamples;     ///< written by RequestSystem
+    AgeSamples ageSamples;              ///< written by RequestSystem
     bool writesPaused = false;          ///< planned switchover: the owner keeps new writes in the queue
     TimePoint writesPausedUntil{0};     ///< the pause ends by itself if the coordinator doesn't renew it
     std::uint64_t writesPausedTerm = 0; ///< term that the pause applies to
