Add jujubekeel-ctl, the operators' command

Operators need to check and apply rules, to see the state of a fleet and to find out what happened to a request.

In an outage of the platform, rules shows the newest set that an instance has.

--- /dev/null
+++ b/src/programs/jujubekeel-ctl/rulecommands.cpp
@@ -0,0 +1,370 @@
+#include "programs/jujubekeel-ctl/rulecommands.h"
+
+#include "rules/rulecheck.h"
+
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeFormatter.h>
+#include <Poco/Timestamp.h>
+#include <Poco/UUIDGenerator.h>
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+namespace Jujubekeel {
+
+namespace {
+
+/// Between two rounds of questions to the instances.
+constexpr Duration waitPause = std::chrono::milliseconds(300);
+
+std::string utcNow()
+{
+    return Poco::DateTimeFormatter::format(Poco::Timestamp(), Poco::DateTimeFormat::ISO8601_FORMAT);
+}
+
+std::string editText(std::uint64_t version, const RulesObject &object)
+{
+    std::string text = "version ";
+    text += std::to_string(version);
+    if (!object.writer.empty())
+        text.append(" by ").append(object.author).append(" at ").append(object.time);
+    return text;
+}
+
+nlohmann::ordered_json differencesToJson(const std::vector<LineDifference> &differences)
+{
+    auto json = nlohmann::ordered_json::array();
+    for (const LineDifference &difference : differences) {
+        json.push_back({{"side", difference.side == LineSide::OldOnly ? "theirs" : "yours"},
+                        {"line", difference.line},
+                        {"text", difference.text}});
+    }
+    return json;
+}
+
+const char *outcomeName(RuleUpdateOutcome outcome)
+{
+    switch (outcome) {
+    case RuleUpdateOutcome::UnderWay:
+        return "under-way";
+    case RuleUpdateOutcome::Applied:
+        return "applied";
+    case RuleUpdateOutcome::Unchanged:
+        return "unchanged";
+    case RuleUpdateOutcome::Conflict:
+        return "conflict";
+    case RuleUpdateOutcome::ConflictUnknown:
+        return "conflict-unknown";
+    case RuleUpdateOutcome::NotApplied:
+        return "not-applied";
+    case RuleUpdateOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::uint64_t unsignedField(const nlohmann::ordered_json &json, const char *field)
+{
+    return json.is_object() && json.contains(field) && json.at(field).is_number_unsigned()
+               ? json.at(field).get<std::uint64_t>()
+               : 0;
+}
+
+bool trueField(const nlohmann::ordered_json &json, const char *field)
+{
+    return json.contains(field) && json.at(field).is_boolean() && json.at(field).get<bool>();
+}
+
+} // namespace
+
+RuleCommands::RuleCommands(const ProxySettings &proxySettings, const CommandOutput &commandOutput)
+    : settings(proxySettings), output(commandOutput), client(proxySettings)
+{
+}
+
+std::optional<RuleSet> RuleCommands::readRules(const std::string &ruleFile) const
+{
+    std::ifstream stream(ruleFile, std::ios::binary);
+    std::string text;
+    // Reading a directory fails only here; the library's iterators would throw.
+    if (!stream || (stream.peek(), stream.bad())) {
+        this->output.writeError(
+            {.code = ResultCode::BadRules, .text = "the file cannot be read; expected a rule file", .file = ruleFile});
+        return std::nullopt;
+    }
+    stream.clear();
+    text.assign(std::istreambuf_iterator<char>(stream), {});
+
+    std::vector<RuleError> errors;
+    auto rules = RuleSet::parse(text, 0, errors);
+    if (rules)
+        errors = checkRules(*rules, this->settings.layout);
+    for (const RuleError &error : errors) {
+        this->output.writeError(
+            {.code = ResultCode::BadRules, .text = error.text, .file = ruleFile, .line = error.line});
+    }
+    return errors.empty() ? std::move(rules) : std::nullopt;
+}
+
+int RuleCommands::check(const std::string &ruleFile) const
+{
+    const auto rules = this->readRules(ruleFile);
+    if (!rules)
+        return exitUsage;
+    if (this->output.isJson()) {
+        auto list = nlohmann::ordered_json::array();
+        for (const Rule &rule : rules->rules())
+            list.push_back({{"line", rule.line}, {"rule", printRule(rule)}, {"requester", rule.requester}});
+        this->output.writeJson({{"valid", true}, {"rules", list}});
+    } else {
+        this->output.writeLine(ruleFile + ": " + std::to_string(rules->rules().size()) + " rules, no errors");
+    }
+    return exitOk;
+}
+
+int RuleCommands::apply(const ApplyOptions &options) const
+{
+    const auto rules = this->readRules(options.ruleFile);
+    if (!rules)
+        return exitUsage;
+
+    // Each run is a writer of its own, so that its one write cannot be taken for that of another run.
+    RuleUpdate update({.user = this->settings.layout.user,
+                       .object = {.writer = Poco::UUIDGenerator::defaultGenerator().createRandom().toString(),
+                                  .sequence = 1,
+                                  .author = options.author,
+                                  .time = utcNow(),
+                                  .text = rules->text()},
+                       .baseVersion = options.baseVersion});
+    std::string lastError;
+    for (std::optional<RuleUpdateCall> next = update.start(); next;) {
+        std::this_thread::sleep_for(next->pause);
+        next = update.handle(this->client.callPlatform(next->call, lastError));
+    }
+    return this->reportUpdate(update.result(), options, lastError);
+}
+
+int RuleCommands::reportUpdate(const RuleUpdateResult &result, const ApplyOptions &options,
+                               const std::string &lastError) const
+{
+    nlohmann::ordered_json json;
+    json["outcome"] = outcomeName(result.outcome);
+    json["version"] = result.version;
+    json["replaced_version"] = result.replacedVersion;
+    json["answer_was_lost"] = result.answerWasLost;
+    if (!result.other.writer.empty())
+        json["other"] = {{"author", result.other.author}, {"time", result.other.time}};
+    json["differences"] = differencesToJson(result.differences);
+    const auto writeDifferences = [&] {
+        for (const LineDifference &difference : result.differences) {
+            this->output.writeLine((difference.side == LineSide::OldOnly ? "- " : "+ ")
+                                   + std::to_string(difference.line) + ": " + difference.text);
+        }
+    };
+
+    int status = exitOk;
+    switch (result.outcome) {
+    case RuleUpdateOutcome::Applied:
+    case RuleUpdateOutcome::Unchanged:
+        if (!this->output.isJson()) {
+            if (result.outcome == RuleUpdateOutcome::Unchanged)
+                this->output.writeLine("unchanged: " + editText(result.version, result.other) + " has the same text");
+            else if (result.replacedVersion == 0)
+                this->output.writeLine("applied as version " + std::to_string(result.version));
+            else
+                this->output.writeLine("applied as version " + std::to_string(result.version) + ", replacing "
+                                       + editText(result.replacedVersion, result.other));
+            writeDifferences();
+        }
+        if (options.wait)
+            status = this->reportWait(result.version, options, json);
+        break;
+    case RuleUpdateOutcome::Conflict:
+    case RuleUpdateOutcome::ConflictUnknown: {
+        std::string text = "not applied: " + editText(result.version, result.other) + " won";
+        if (result.version == 0)
+            text = "not applied: the platform has no rule set, but a base version was given";
+        if (result.outcome == RuleUpdateOutcome::ConflictUnknown)
+            text = editText(result.version, result.other)
+                   + " is in force; an answer was lost, so your edit may have been in force before it";
+        text += "; the lines that differ are on standard output ('-' theirs, '+' yours)";
+        this->output.writeError({.code = result.code, .text = text});
+        if (!this->output.isJson())
+            writeDifferences();
+        status = exitFailed;
+        break;
+    }
+    case RuleUpdateOutcome::NotApplied:
+    case RuleUpdateOutcome::Unknown:
+    case RuleUpdateOutcome::UnderWay:
+        this->output.writeError(
+            {.code = ResultCode::PlatformUnavailable,
+             .text = (result.outcome == RuleUpdateOutcome::NotApplied
+                          ? "not applied: the platform did not answer ("
+                          : "outcome unknown: the platform did not answer after the write was sent (")
+                     + lastError
+                     + (result.outcome == RuleUpdateOutcome::NotApplied ? "); nothing was written"
+                                                                        : "); applying the same file again is safe")});
+        status = exitFailed;
+        break;
+    }
+    if (this->output.isJson())
+        this->output.writeJson(json);
+    return status;
+}
+
+std::vector<RuleCommands::InstanceRules> RuleCommands::instanceRules() const
+{
+    const std::vector<InstanceAnswer> answers = this->client.askAll("/v1/status");
+    std::vector<InstanceRules> rows;
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        const InstanceSettings &instance = this->settings.layout.instances[index];
+        InstanceRules row{.instance = instance.name, .failureDomain = instance.failureDomain, .state = "not live"};
+        if (answers[index].code == ResultCode::Ok) {
+            row.state = "answers";
+            row.live = true;
+            row.version = unsignedField(answers[index].json, "rules_version");
+        } else {
+            // An instance that this command cannot reach may still serve callers: its peers know, and know its version.
+            for (const InstanceAnswer &other : answers) {
+                if (other.code != ResultCode::Ok || !other.json.contains("peers") || !other.json.at("peers").is_array())
+                    continue;
+                for (const auto &peer : other.json.at("peers")) {
+                    if (!peer.is_object() || cellText(peer, "name") != instance.name || !trueField(peer, "live"))
+                        continue;
+                    row.live = true;
+                    row.state = "live, not reached";
+                    row.version = std::max(row.version, unsignedField(peer, "rules_version"));
+                }
+            }
+        }
+        rows.push_back(std::move(row));
+    }
+    return rows;
+}
+
+std::optional<std::vector<RuleCommands::InstanceRules>> RuleCommands::waitForVersion(std::uint64_t version,
+                                                                                     Duration limit) const
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    while (true) {
+        std::vector<InstanceRules> rows = this->instanceRules();
+        const bool answered = std::ranges::any_of(rows, &InstanceRules::live);
+        const bool reached =
+            std::ranges::all_of(rows, [&](const InstanceRules &row) { return !row.live || row.version >= version; });
+        if (answered && reached)
+            return rows;
+        if (std::chrono::steady_clock::now() + waitPause > deadline) {
+            std::string missing;
+            for (const InstanceRules &row : rows) {
+                if (row.live && row.version < version)
+                    missing += (missing.empty() ? "" : ", ") + row.instance + " (" + std::to_string(row.version) + ")";
+            }
+            this->output.writeError(
+                {.code = ResultCode::InstanceUnreachable,
+                 .text = answered ? "version " + std::to_string(version) + " is not yet in force on " + missing
+                                  : "no instance answered, so it is not known where version " + std::to_string(version)
+                                        + " is in force"});
+            return std::nullopt;
+        }
+        std::this_thread::sleep_for(waitPause);
+    }
+}
+
+int RuleCommands::reportWait(std::uint64_t version, const ApplyOptions &options, nlohmann::ordered_json &json) const
+{
+    const auto rows = this->waitForVersion(version, options.waitLimit);
+    json["in_force_everywhere"] = rows.has_value();
+    if (!rows)
+        return exitFailed;
+    const auto live = std::ranges::count(*rows, true, &InstanceRules::live);
+    json["live_instances"] = live;
+    if (!this->output.isJson()) {
+        this->output.writeLine("in force on all " + std::to_string(live) + " live instances");
+        for (const InstanceRules &row : *rows) {
+            if (!row.live)
+                this->output.writeLine("  " + row.instance + " is not live");
+        }
+    }
+    return exitOk;
+}
+
+int RuleCommands::rules() const
+{
+    const std::string key = RulesObject::key(this->settings.layout.user);
+    std::string error;
+    const PlatformAnswer stored = this->client.callPlatform({.call = 1, .key = key}, error);
+    std::vector<InstanceRules> rows = this->instanceRules();
+
+    RulesObject object;
+    std::uint64_t version = 0;
+    if (stored.code == PlatformStatusCode::Ok) {
+        version = stored.version;
+        LastReason reason;
+        const auto decoded = RulesObject::decode(stored.value, reason);
+        if (!decoded) {
+            this->output.writeError({.code = reason.code(), .text = reason.text(), .key = key});
+            return exitFailed;
+        }
+        object = *decoded;
+    } else if (stored.code == PlatformStatusCode::NotFound) {
+        this->output.writeError({.code = ResultCode::NotFound,
+                                 .text = "no rule set has been applied for user " + this->settings.layout.user});
+        return exitFailed;
+    } else {
+        // The instances keep serving with their last version, which answers the question in an outage.
+        const std::string unavailable = "the platform did not answer (" + error + ")";
+        const std::vector<InstanceAnswer> answers = this->client.askAll("/v1/rules");
+        for (const InstanceAnswer &answer : answers) {
+            const std::uint64_t has = answer.code == ResultCode::Ok ? unsignedField(answer.json, "version") : 0;
+            if (has > version && answer.json.contains("text") && answer.json.at("text").is_string()) {
+                version = has;
+                object.text = answer.json.at("text").get<std::string>();
+            }
+        }
+        if (version == 0) {
+            this->output.writeError(
+                {.code = ResultCode::PlatformUnavailable, .text = unavailable + ", and no instance told its rule set"});
+            return exitFailed;
+        }
+        this->output.writeWarning(unavailable + "; showing the newest version that an instance has");
+    }
+
+    if (this->output.isJson()) {
+        auto instances = nlohmann::ordered_json::array();
+        for (const InstanceRules &row : rows) {
+            instances.push_back({{"name", row.instance},
+                                 {"failure_domain", row.failureDomain},
+                                 {"state", row.state},
+                                 {"live", row.live},
+                                 {"version", row.version}});
+        }
+        this->output.writeJson({{"version", version},
+                                {"author", object.author},
+                                {"time", object.time},
+                                {"text", object.text},
+                                {"instances", instances}});
+        return exitOk;
+    }
+    this->output.writeLine(editText(version, object));
+    std::size_t begin = 0;
+    while (begin < object.text.size()) {
+        const std::size_t end = std::min(object.text.find('\n', begin), object.text.size());
+        this->output.writeLine("  " + object.text.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    this->output.writeLine("");
+    std::vector<std::vector<std::string>> table;
+    table.reserve(rows.size());
+    for (const InstanceRules &row : rows) {
+        table.push_back({row.instance, row.failureDomain, row.version == 0 ? "-" : std::to_string(row.version),
+                         row.live && row.version < version ? row.state + ", behind" : row.state});
+    }
+    this->output.writeTable({"INSTANCE", "FAILURE DOMAIN", "VERSION", "STATE"}, table);
+    return exitOk;
+}
+
+} // namespace Jujubekeel
