--- a/tests/ctl/ctltest.cpp
+++ b/tests/ctl/ctltest.cpp
@@ -92,7 +92,7 @@
             arguments.push_back("--settings=" + (this->directory / "fleet.yaml").string());
         Poco::Pipe output;
         Poco::Pipe errors;
-        const std::string program = std::string(JUJUBEKEEL_BINARY_DIR) + "/src/programs/jujubekeel-ctl/jujubekeel-ctl";
+        const std::string program = std::string(JUJUBEKEEL_BINARY_DIR) + "/bin/jujubekeel-ctl";
         Poco::ProcessHandle process =
             Poco::Process::launch(program, arguments, this->directory.string(), nullptr, &output, &errors);
         CommandResult result;
