--- a/src/core/databaserow.h
+++ b/src/core/databaserow.h
@@ -4,6 +4,7 @@
 #include "core/connectionrow.h"
 #include "core/id.h"
 #include "core/time.h"
+#include "routing/agesamples.h"
 #include "session/logposition.h"
 #include "session/termhistory.h"
 
@@ -70,6 +71,7 @@
     TimePoint coordinatesSince{0}; ///< start of that
     std::vector<PromotionMember> members; ///< same order as DatabaseRow::backends; empty until first needed
     bool claimWriting = false;            ///< the platform call under way is the conditional update
+    TimePoint claimSentAt{0};             ///< of the platform call under way
     std::uint64_t claimSequence = 0;      ///< of the last update sent; recognises it after a lost answer
     std::uint64_t claimedTerm = 0;        ///< highest term found in the promotions object
     InstanceId rival;                     ///< another live promoter named there for a newer term
@@ -99,6 +101,7 @@
     TermHistory history;        ///< newest that was seen
     TimePoint lastPromotion{0}; ///< when the present primary became known
     PromotionState promotion;
+    AgeSamples ageSamples;              ///< written by RequestSystem
     bool writesPaused = false;          ///< planned switchover: the owner keeps new writes in the queue
     TimePoint writesPausedUntil{0};     ///< the pause ends by itself if the coordinator doesn't renew it
     std::uint64_t writesPausedTerm = 0; ///< term that the pause applies to
