Keep connections alive while a promotion waits for a lease; test promotions

Cause: servers drop control connections that are silent for 2 s; the wait for a lease takes 4 s, so the first attempt failed and the group went through one more term.

Ruled out: opening the connections only after the wait; a server that is lost meanwhile would then be found late.

--- a/src/authority/promotionsystem.cpp
+++ b/src/authority/promotionsystem.cpp
@@ -938,6 +938,10 @@
     const AuthorityOptions &options = world.options.authority;
     PromotionState &promotion = world.at(database).promotion;
 
+    // Servers drop silent control connections, and the wait is longer than they allow.
+    for (std::size_t index = 0; index < promotion.members.size(); ++index)
+        this->probe(world, database, index, false, world.options.ownership.pingInterval, actions);
+
     if (promotion.leaseTaken) {
         // A twentieth more covers clocks of different speed.
         const TimePoint over = promotion.leaseTakenAt + options.leaseDuration + options.leaseDuration / 20;
@@ -959,10 +963,12 @@
     PromotionState &promotion = row.promotion;
     const std::size_t index = memberIndex(row, promotion.candidate);
     const PromotionMember &member = promotion.members[index];
-    if (!member.open || member.serial != 0) {
+    if (!member.open) {
         this->fail(world, database, "connection to the chosen server lost", actions);
         return;
     }
+    if (member.serial != 0)
+        return; // a status request is under way; the next tick tries again
     promotion.step = PromotionStep::Promoting;
     promotion.stepStarted = world.now;
     this->send(world, database, index, {.operation = BackendOperation::Promote, .term = promotion.term},
--- /dev/null
+++ b/tests/authority/promotionsystemtest.cpp
@@ -0,0 +1,294 @@
+#include "support/corefleet.h"
+
+#include <gtest/gtest.h>
+
+namespace Jujubekeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Runs a fleet until every server has an owner and every proxy knows the primary b0.
+void settle(CoreFleet &fleet)
+{
+    ASSERT_TRUE(fleet.runUntil(seconds(3), [&] { return fleet.allOwned() && fleet.allKnowPrimary(0); }));
+    fleet.run(seconds(6)); // past the hold-off after the first primary became known
+    ASSERT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 0U);
+}
+
+bool replicatesFrom(const CoreFleet &fleet, std::uint32_t server, const std::string &primary, std::uint64_t term)
+{
+    const ServerStatus status = fleet.status(server);
+    return status.role == BackendRole::Replica && status.primary == primary && status.history.lastTerm() == term;
+}
+
+// Guards against a long failover gap: a killed primary is replaced well under a second.
+TEST(PromotionSystem, KilledPrimaryIsReplacedWithinASecond)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.kill(0);
+    ASSERT_TRUE(fleet.runUntil(seconds(1), [&] { return !fleet.allKnowPrimary(0) && fleet.knownPrimary(0) > 0; }));
+    fleet.run(seconds(1));
+    const int primary = fleet.knownPrimary(0);
+    EXPECT_TRUE(fleet.allKnowPrimary(primary));
+    EXPECT_EQ(fleet.status(static_cast<std::uint32_t>(primary)).history.lastTerm(), 2U);
+    EXPECT_TRUE(replicatesFrom(fleet, static_cast<std::uint32_t>(3 - primary), "b" + std::to_string(primary), 2));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_finished_total"), 1U);
+}
+
+// Guards against two primaries after a restart: a server that comes back under an older term must follow.
+TEST(PromotionSystem, ReturningPrimaryFollowsTheNewOne)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.kill(0);
+    fleet.run(seconds(3));
+    const int primary = fleet.knownPrimary(0);
+    ASSERT_GT(primary, 0);
+    fleet.restart(0);
+    EXPECT_TRUE(fleet.runUntil(seconds(6), [&] { return replicatesFrom(fleet, 0, "b" + std::to_string(primary), 2); }));
+    EXPECT_TRUE(fleet.allKnowPrimary(primary));
+}
+
+// Guards against replacing a primary that only one proxy, the coordinator, cannot reach.
+TEST(PromotionSystem, PrimaryUnreachableForTheCoordinatorAloneStays)
+{
+    CoreFleet fleet({.instancesPerDomain = 2});
+    settle(fleet);
+    fleet.cut("i" + std::to_string(fleet.coordinator()), "b0");
+    fleet.run(seconds(10));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 0U);
+    EXPECT_TRUE(fleet.allOwned());
+}
+
+// Guards against replacing a primary that no proxy reaches for a moment while its replicas hear it.
+TEST(PromotionSystem, PrimaryHeardByItsReplicasStays)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    for (const char *instance : {"i0", "i1", "i2"})
+        fleet.cut(instance, "b0");
+    fleet.run(seconds(8));
+    fleet.heal();
+    fleet.run(seconds(3));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 0U);
+    EXPECT_TRUE(fleet.allOwned());
+}
+
+// Guards against a primary that accepts connections and can confirm nothing, because its replicas cannot hear it.
+TEST(PromotionSystem, CutOffPrimaryIsReplacedAndStaysHarmless)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.cut("b0", "b1");
+    fleet.cut("b0", "b2");
+    fleet.run(seconds(2));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 0U);
+    ASSERT_TRUE(fleet.runUntil(seconds(3), [&] { return fleet.knownPrimary(0) > 0; }));
+    const int primary = fleet.knownPrimary(0);
+    fleet.run(seconds(10));
+    EXPECT_TRUE(fleet.allKnowPrimary(primary));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_finished_total"), 1U);
+
+    fleet.heal();
+    EXPECT_TRUE(fleet.runUntil(seconds(4), [&] { return replicatesFrom(fleet, 0, "b" + std::to_string(primary), 2); }));
+}
+
+// Guards against an old primary that is reachable from its own failure domain only: its proxies must neither promote nor
+// vouch for it, and the other side must go on.
+TEST(PromotionSystem, IsolatedFailureDomainNeitherPromotesNorConfirms)
+{
+    CoreFleet fleet({.instancesPerDomain = 2});
+    settle(fleet);
+    const TimePoint cutAt = fleet.now();
+    fleet.isolate({"i0", "i1", "b0"});
+    ASSERT_TRUE(fleet.runUntil(seconds(5), [&] { return fleet.knownPrimary(2) > 0; }));
+    fleet.run(seconds(10));
+    EXPECT_EQ(fleet.status(0).history.lastTerm(), 1U);
+    for (const std::uint32_t inside : {0U, 1U}) {
+        EXPECT_EQ(fleet.knownPrimary(inside), 0);
+        const World &world = fleet.world(inside);
+        EXPECT_FALSE(ConfirmationSystem::isReadConfirmed(world, BackendId{.index = 0, .generation = 0}, 1,
+                                                         cutAt + milliseconds(5)));
+    }
+
+    fleet.heal();
+    const int primary = fleet.knownPrimary(2);
+    EXPECT_TRUE(fleet.runUntil(seconds(5), [&] {
+        return fleet.allKnowPrimary(primary) && replicatesFrom(fleet, 0, "b" + std::to_string(primary), 2);
+    }));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_finished_total"), 1U);
+}
+
+// Guards against a platform outage that stops promotions: the fence alone decides.
+TEST(PromotionSystem, PromotesWithoutThePlatform)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.platform().setDown(true);
+    fleet.kill(0);
+    EXPECT_TRUE(fleet.runUntil(seconds(2), [&] { return fleet.knownPrimary(0) > 0; }));
+}
+
+// Guards against a second claim, or a wait, after a claim whose answer was lost.
+TEST(PromotionSystem, RecognisesItsClaimAfterALostAnswer)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.platform().loseAnswers(1);
+    const std::uint64_t writes = fleet.platform().writes();
+    fleet.kill(0);
+    ASSERT_TRUE(fleet.runUntil(milliseconds(900), [&] { return fleet.knownPrimary(0) > 0; }));
+    EXPECT_EQ(fleet.platform().writes(), writes + 1);
+    EXPECT_EQ(fleet.status(static_cast<std::uint32_t>(fleet.knownPrimary(0))).history.lastTerm(), 2U);
+}
+
+// Guards against two primaries when proxies that cannot hear each other promote at the same time without the platform.
+TEST(PromotionSystem, RacingPromotersLeaveOnePrimary)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.platform().setDown(true);
+    fleet.cut("i0", "i1");
+    fleet.cut("i0", "i2");
+    fleet.cut("i1", "i2");
+    fleet.kill(0);
+    fleet.run(seconds(12));
+    const ServerStatus left = fleet.status(1);
+    const ServerStatus right = fleet.status(2);
+    const std::uint64_t newest = std::max(left.history.lastTerm(), right.history.lastTerm());
+    const int primaries = static_cast<int>(left.role == BackendRole::Primary && left.fencedTerm <= newest)
+                          + static_cast<int>(right.role == BackendRole::Primary && right.fencedTerm <= newest);
+    EXPECT_EQ(primaries, 1);
+    EXPECT_GE(newest, 2U);
+    fleet.heal();
+    EXPECT_TRUE(fleet.runUntil(
+        seconds(5), [&] { return fleet.knownPrimary(0) > 0 && fleet.allKnowPrimary(fleet.knownPrimary(0)); }));
+}
+
+// Guards against a promotion without a majority: with a second server gone nothing may be promoted, and the group
+// recovers when one comes back.
+TEST(PromotionSystem, NoPromotionWithoutAMajority)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.kill(1);
+    fleet.run(seconds(1));
+    fleet.kill(0);
+    fleet.run(seconds(8));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_finished_total"), 0U);
+    fleet.restart(1);
+    EXPECT_TRUE(fleet.runUntil(seconds(6), [&] { return fleet.knownPrimary(0) > 0; }));
+}
+
+// Guards against a stray fence of a promoter that died: it stops the primary, and the group must get a new term.
+TEST(PromotionSystem, LeftFenceIsFollowedByANewTerm)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.request(1, "i9", {.operation = BackendOperation::Fence, .term = 7});
+    fleet.request(2, "i9", {.operation = BackendOperation::Fence, .term = 7});
+    ASSERT_TRUE(fleet.runUntil(seconds(6), [&] { return fleet.counter("jujubekeel_promotions_finished_total") == 1; }));
+    EXPECT_EQ(fleet.world(0).databases.front().history.lastTerm(), 8U);
+    fleet.run(seconds(8));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 1U);
+}
+
+// Guards against endless replacement when the link between two servers comes and goes.
+TEST(PromotionSystem, FlappingLinkCausesFewPromotions)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    for (int round = 0; round < 10; ++round) {
+        const int primary = fleet.knownPrimary(1);
+        for (int other = 0; other < 3; ++other) {
+            if (other != primary)
+                fleet.cut("b" + std::to_string(primary), "b" + std::to_string(other));
+        }
+        fleet.run(seconds(1));
+        fleet.heal();
+        fleet.run(seconds(1));
+    }
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 0U);
+}
+
+// Guards against writes that stay paused after a switchover, and against a switchover that loses the log's end.
+TEST(PromotionSystem, LeavingPrimaryIsReplacedByAPlannedSwitchover)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    const RulesUpdate update{.version = 1, .text = "leaving backend b0 # Anjali Mohammed: rack change\n"};
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        fleet.input(index, PeerMessageArrived{.from = InstanceId{.index = (index + 1) % 3, .generation = 0},
+                                              .message = update});
+    }
+    ASSERT_TRUE(fleet.runUntil(seconds(2), [&] { return fleet.knownPrimary(0) > 0; }));
+    const int primary = fleet.knownPrimary(0);
+    fleet.run(milliseconds(200));
+    EXPECT_TRUE(replicatesFrom(fleet, 0, "b" + std::to_string(primary), 2));
+    EXPECT_EQ(fleet.logged("writes-paused"), 1U);
+    for (std::uint32_t index = 0; index < 3; ++index)
+        EXPECT_FALSE(fleet.world(index).databases.front().writesPaused);
+    fleet.run(seconds(10));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 1U);
+}
+
+// Guards against paused writes that nobody resumes because the coordinator died.
+TEST(PromotionSystem, PauseOfWritesEndsWithoutTheCoordinator)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    const auto owner = static_cast<std::uint32_t>(fleet.holder(0));
+    const WritePause pause{
+        .database = DatabaseId{.index = 0, .generation = 0}, .term = 1, .paused = true, .lasting = seconds(1)};
+    fleet.input(owner,
+                PeerMessageArrived{.from = InstanceId{.index = (owner + 1) % 3, .generation = 0}, .message = pause});
+    fleet.run(milliseconds(50));
+    EXPECT_TRUE(fleet.world(owner).databases.front().writesPaused);
+    fleet.run(milliseconds(1100));
+    EXPECT_FALSE(fleet.world(owner).databases.front().writesPaused);
+}
+
+// Guards against a pause that an out-of-date coordinator asks for under a term that is over.
+TEST(PromotionSystem, PauseOfAnotherTermIsIgnored)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    const auto owner = static_cast<std::uint32_t>(fleet.holder(0));
+    const WritePause pause{
+        .database = DatabaseId{.index = 0, .generation = 0}, .term = 9, .paused = true, .lasting = seconds(1)};
+    fleet.input(owner,
+                PeerMessageArrived{.from = InstanceId{.index = (owner + 1) % 3, .generation = 0}, .message = pause});
+    fleet.run(milliseconds(50));
+    EXPECT_FALSE(fleet.world(owner).databases.front().writesPaused);
+}
+
+// Guards against a promotion under a lease policy while the old owner may still acknowledge under its lease.
+TEST(PromotionSystem, LeasePolicyWaitsForTheEndOfTheLease)
+{
+    CoreFleetOptions options;
+    options.proxy.authority.policy = AuthorityPolicy::LeaseAndConfirmation;
+    CoreFleet fleet(options);
+    settle(fleet);
+    const auto owner = static_cast<std::uint32_t>(fleet.holder(0));
+    ASSERT_GT(fleet.world(owner).backends.front().confirmation.lease.validUntil, fleet.now());
+
+    fleet.kill(0);
+    const TimePoint validUntil = fleet.world(owner).backends.front().confirmation.lease.validUntil;
+    ASSERT_TRUE(fleet.runUntil(seconds(8), [&] { return fleet.knownPrimary(0) > 0; }));
+    EXPECT_GE(fleet.now(), validUntil);
+
+    // The new owner gets a lease for the new term.
+    fleet.run(seconds(3));
+    const auto primary = static_cast<std::uint32_t>(fleet.knownPrimary(0));
+    const auto newOwner = static_cast<std::uint32_t>(fleet.holder(primary));
+    const LeaseState &lease = fleet.world(newOwner).backends[primary].confirmation.lease;
+    EXPECT_EQ(lease.term, 2U);
+    EXPECT_GT(lease.validUntil, fleet.now());
+}
+
+} // namespace
+
+} // namespace Jujubekeel
