Let the best candidate get a silent owner's lock, and keep cut-off proxies from preempting

Cause: a paused owner's server went to a proxy of another failure domain, because the best candidate had backed off while the lock was still held. A handover counted the time of an earlier better candidate. A proxy that heard nobody preempted the servers of all others.

Ruled out: shorter pauses for every rank; that only moves the race and costs connections of the control reserve.

Change: refused locks pause by rank instead of doubling; ranks behind the first count from the end of the silent owner's lock time; a handover needs one candidate that stays the best; only a proxy that hears half of the fleet preempts.

--- a/src/core/backendrow.h
+++ b/src/core/backendrow.h
@@ -28,7 +28,8 @@
     TimePoint notBefore{0}; ///< next attempt
     Duration retryDelay{0};
     TimePoint orphanSince{0};      ///< since when no live owner has been known; 0: there is one
-    TimePoint betterSince{0};      ///< since when a better candidate has been live; 0: there is none
+    InstanceId better;             ///< best-ranked live candidate; invalid: this instance
+    TimePoint betterSince{0};      ///< since when it has been that candidate
     TimePoint nextRanking{0};      ///< when the candidates are ranked again
     TimePoint ownedSince{0};       ///< start of the present ownership
     TimePoint closingSince{0};     ///< start of Closing
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -35,6 +35,21 @@
     return allHeard ? Duration{0} : 2 * world.options.membership.heartbeatInterval;
 }
 
+/// Whether this instance hears at least half of the fleet, itself included. One that hears less is more likely cut off
+/// than the holder of a lock that it doesn't hear.
+bool hearsHalfOfTheFleet(const World &world)
+{
+    std::size_t live = 0;
+    std::size_t present = 0;
+    for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
+        const InstanceRow &row = world.instances[index];
+        const bool self = index == world.self.index;
+        live += self || row.live ? 1 : 0;
+        present += self || row.live || row.listed ? 1 : 0;
+    }
+    return 2 * live >= present;
+}
+
 Duration doubled(Duration base, std::uint32_t times)
 {
     return base * (1U << std::min(times, maxDoublings));
@@ -261,7 +276,7 @@
     state.step = OwnershipStep::Owned;
     state.ownedSince = world.now;
     state.orphanSince = TimePoint{0};
-    state.betterSince = TimePoint{0};
+    state.better = InstanceId{};
     state.nextRanking = world.now;
     state.retryDelay = Duration{0};
     state.blockedBy = InstanceId{};
@@ -282,6 +297,13 @@
         state.holderAsked = TimePoint{0};
     }
     this->giveUp(world, backend, {}, actions);
+
+    // The server answers, so there is nothing to back off from. The best candidate asks most often, so that the lock
+    // goes to it once it is free.
+    const OwnershipOptions &options = world.options.ownership;
+    const Duration pause = 2 * options.retryDelay + ownRank(world, backend).value_or(0) * options.candidateDelay;
+    state.retryDelay = Duration{0};
+    state.notBefore = world.now + std::min(pause, options.maxRetryDelay);
 }
 
 void OwnershipSystem::giveUp(World &world, BackendId backend, const std::string &reason, Actions &actions)
@@ -425,7 +447,8 @@
 
     // A holder that neither this instance nor any live peer hears loses the lock to another failure domain.
     const bool unheard = state.blockedBy.isValid() && state.blockedBy != world.self && !world.at(state.blockedBy).live
-                         && world.layout.at(state.blockedBy).failureDomain != world.layout.at(world.self).failureDomain;
+                         && world.layout.at(state.blockedBy).failureDomain != world.layout.at(world.self).failureDomain
+                         && hearsHalfOfTheFleet(world);
     const TimePoint preemptionDue = state.blockedSince + doubled(options.preemptAfter, state.preemptions);
     if (!unheard) {
         state.blockedSince = world.now;
@@ -438,9 +461,14 @@
     if (!preempt && world.now < state.notBefore)
         return;
 
-    // The better-ranked candidates come first. Ranking reads all instances, so it isn't repeated in every tick.
+    // The better-ranked candidates come first. An owner that fell silent may keep the lock for lockTimeout, so the ranks
+    // behind the first count from then; else they would find the lock free by chance before the first does. Ranking
+    // reads all instances, so it isn't repeated in every tick.
+    TimePoint begin = preempt ? preemptionDue : state.orphanSince;
     const std::optional<std::size_t> rank = ownRank(world, backend);
-    if (!rank || world.now < (preempt ? preemptionDue : state.orphanSince) + *rank * options.candidateDelay) {
+    if (!preempt && rank && *rank > 0 && row.owner.isValid() && row.owner != world.self)
+        begin = std::max(begin, row.ownerHeard + options.lockTimeout);
+    if (!rank || world.now < begin + *rank * options.candidateDelay) {
         state.nextRanking = world.now + options.candidateDelay / 10;
         return;
     }
@@ -483,12 +511,15 @@
     } else if (state.step == OwnershipStep::Owned && world.now >= state.nextRanking) {
         state.nextRanking = world.now + options.pingInterval;
         const std::vector<InstanceId> ranked = rankedFor(world, backend);
-        if (ranked.empty() || ranked.front() == world.self)
-            state.betterSince = TimePoint{0};
-        else if (state.betterSince == TimePoint{0})
+        const InstanceId best = ranked.empty() ? world.self : ranked.front();
+        if (best == world.self) {
+            state.better = InstanceId{};
+        } else if (best != state.better) {
+            state.better = best;
             state.betterSince = world.now;
-        else if (world.now - state.betterSince >= doubled(options.handoverAfter, state.handovers))
-            this->startClosing(world, backend, "better candidate " + world.layout.at(ranked.front()).name, actions);
+        } else if (world.now - state.betterSince >= doubled(options.handoverAfter, state.handovers)) {
+            this->startClosing(world, backend, "better candidate " + world.layout.at(best).name, actions);
+        }
     }
     if (state.step == OwnershipStep::Closing && state.serial == 0 && !isBusy(world, backend)) {
         state.step = OwnershipStep::Unlocking;
