Forget the primary when a newer term is known without one

Cause: an instance that heard of a new term from a replica's report took over the history and kept the old primary; the later claim of the new primary had the same term and was ignored, so its writes were refused until the next promotion.

Ruled out: accepting a second claim to a known term, because one term has one primary.

Change: a newer history without its primary clears the known primary. The newest end of the confirmed log moves to the new primary from any server of the group. Under a lease alone a primary that answers is not replaced as cut off.

--- a/src/authority/groupmonitorsystem.cpp
+++ b/src/authority/groupmonitorsystem.cpp
@@ -18,25 +18,34 @@
     return history.starts().size() > than.starts().size();
 }
 
+/// The known primary, if there is one, has been replaced.
+void forgetPrimary(World &world, DatabaseId database)
+{
+    DatabaseRow &row = world.at(database);
+    if (row.primary.isValid() && world.at(row.primary).role == BackendRole::Primary)
+        world.at(row.primary).role = BackendRole::Unknown;
+    row.primary = BackendId{};
+}
+
 /// Makes a server the known primary. The newest knowledge of the end of the confirmed log moves along: what was
 /// confirmed under the earlier term is part of the new primary's log.
 void setPrimary(World &world, DatabaseId database, BackendId primary)
 {
     DatabaseRow &row = world.at(database);
-    if (row.primary.isValid() && row.primary != primary) {
-        BackendRow &earlier = world.at(row.primary);
-        BackendRow &present = world.at(primary);
-        if (earlier.currentAsOf > present.currentAsOf) {
-            present.current = earlier.current;
-            present.currentAsOf = earlier.currentAsOf;
+    if (row.primary != primary) {
+        forgetPrimary(world, database);
+        world.announceWanted = true;
+    }
+    BackendRow &present = world.at(primary);
+    for (const BackendId backend : row.backends) {
+        const BackendRow &server = world.at(backend);
+        if (server.currentAsOf > present.currentAsOf) {
+            present.current = server.current;
+            present.currentAsOf = server.currentAsOf;
         }
-        if (earlier.role == BackendRole::Primary)
-            earlier.role = BackendRole::Unknown;
     }
-    if (row.primary != primary)
-        world.announceWanted = true;
     row.primary = primary;
-    world.at(primary).role = BackendRole::Primary;
+    present.role = BackendRole::Primary;
 }
 
 /// Takes over a history and, if it comes with one, the primary of its last term.
@@ -50,8 +59,12 @@
     const bool newer = history.lastTerm() > known;
     if (tellsMore(history, row.history))
         row.history = history;
-    if (!primary.isValid())
+    if (!primary.isValid()) {
+        // The primary of the newer term is not known yet, but the known one has been replaced.
+        if (newer)
+            forgetPrimary(world, database);
         return;
+    }
     // One term has one primary, so a second claim to the known term is left alone.
     if (newer || !row.primary.isValid()) {
         setPrimary(world, database, primary);
--- a/src/authority/promotionsystem.cpp
+++ b/src/authority/promotionsystem.cpp
@@ -525,6 +525,10 @@
         return;
     }
 
+    // Under a lease alone the primary acknowledges without its replicas, so it is not replaced while it answers.
+    if (!usesConfirmation(options.policy))
+        return;
+
     // The primary is cut off: it answers, and the group confirms nothing.
     if (!seen || unconfirmedFor <= options.cutOffAfter / 3) {
         promotion.cutOffSince = TimePoint{0};
--- a/tests/authority/groupmonitorsystemtest.cpp
+++ b/tests/authority/groupmonitorsystemtest.cpp
@@ -139,6 +139,21 @@
     EXPECT_NE(this->row(this->first).role, BackendRole::Primary);
 }
 
+// Guards against an instance that hears of a new term from a replica first and then keeps the replaced primary for good.
+TEST_F(GroupMonitor, NewTermWithoutItsPrimaryForgetsTheOldOne)
+{
+    this->monitor.observeReport(this->world, this->peer, this->report(this->first, true, 1, 8, milliseconds(5)),
+                                this->world.now);
+    const TimePoint asOf = this->row(this->first).currentAsOf;
+    this->monitor.observeReport(this->world, this->peer, this->report(this->third, false, 2, 12, Duration{-1}),
+                                this->world.now);
+    EXPECT_FALSE(this->primary().isValid());
+    this->monitor.observePromotion(this->world,
+                                   {.database = this->database, .primary = this->second, .start = {2, 10}});
+    EXPECT_EQ(this->primary(), this->second);
+    EXPECT_EQ(this->row(this->second).currentAsOf, asOf);
+}
+
 // Guards against a term history with holes, which would take a discarded write for one that survived.
 TEST_F(GroupMonitor, FullHistoryReplacesOneFromNotices)
 {
