--- a/src/authority/promotionsystem.cpp
+++ b/src/authority/promotionsystem.cpp
@@ -93,11 +93,12 @@
 /// Whether something that writes runs at a server: a statement, a commit, or an open transaction.
 bool isWriting(const World &world, BackendId backend)
 {
-    bool writing = false;
-    world.executions.forEach([&](ExecutionId, const ExecutionRow &row) {
-        const bool writes = row.forward.request.kind != RequestKind::Read || !row.forward.request.transaction.empty();
-        writing = writing || (row.backend == backend && row.step != ExecutionStep::Queued && writes);
-    });
+    const auto writes = [&](ExecutionId id) {
+        const CallerRequest &request = world.executions.at(id).forward.request;
+        return request.kind != RequestKind::Read || !request.transaction.empty();
+    };
+    const BackendWork &work = world.workAt(backend);
+    bool writing = std::ranges::any_of(work.running, writes) || std::ranges::any_of(work.confirming, writes);
     world.transactions.forEach(
         [&](TransactionId, const TransactionRow &row) { writing = writing || row.backend == backend; });
     return writing;
@@ -265,7 +266,7 @@
         if (ok && answer.status && answer.status->role == BackendRole::Primary) {
             member.unconfirmedAt = TimePoint{0};
             this->monitor.observeConfirmed(world, backend, answer.status->received, member.sentAt);
-        } else if (answer.code == BackendStatusCode::BarrierTimeout) {
+        } else {
             member.unconfirmedAt = world.now;
         }
         break;
@@ -299,7 +300,8 @@
     // A server that was reported under an older term, or that follows another primary.
     if (member.inspect && answer.status) {
         member.inspect = false;
-        const bool older = answer.status->history.lastTerm() < row.history.lastTerm();
+        const bool older =
+            answer.status->role == BackendRole::Primary || answer.status->fencedTerm < row.history.lastTerm();
         const bool elsewhere = answer.status->role == BackendRole::Replica && row.primary.isValid()
                                && answer.status->primary != world.layout.at(row.primary).name;
         member.followWanted = backend != row.primary && (older || elsewhere);
@@ -377,9 +379,12 @@
         this->tickCatchingUp(world, database, actions);
         break;
     case PromotionStep::Claiming:
-        // Without the platform the fence alone decides: a server accepts a term from one promoter only.
+        // Without the platform the fence alone decides: a server accepts a term from one promoter only. Before that an
+        // unanswered update is looked up, because it may have taken effect.
         if (inStep > world.options.authority.claimTimeout)
             this->beginFence(world, database, highestTerm(row) + 1, actions);
+        else if (promotion.claimWriting && world.now - promotion.claimSentAt > world.options.authority.claimTimeout / 4)
+            this->readClaim(world, database, actions);
         break;
     case PromotionStep::Fencing:
         this->tickFencing(world, database, actions);
@@ -520,6 +525,10 @@
         return;
     }
 
+    // Under a lease alone the primary acknowledges without its replicas, so it is not replaced while it answers.
+    if (!usesConfirmation(options.policy))
+        return;
+
     // The primary is cut off: it answers, and the group confirms nothing.
     if (!seen || unconfirmedFor <= options.cutOffAfter / 3) {
         promotion.cutOffSince = TimePoint{0};
@@ -680,7 +689,15 @@
     PromotionState &promotion = world.at(database).promotion;
     promotion.step = PromotionStep::Claiming;
     promotion.stepStarted = world.now;
+    promotion.claimSequence = 0;
+    this->readClaim(world, database, actions);
+}
+
+void PromotionSystem::readClaim(World &world, DatabaseId database, Actions &actions)
+{
+    PromotionState &promotion = world.at(database).promotion;
     promotion.claimWriting = false;
+    promotion.claimSentAt = world.now;
     promotion.platformCall = world.takeNumber();
     actions.emplace_back(
         CallPlatform{.call = {.call = promotion.platformCall,
@@ -724,11 +741,8 @@
     if (answer.code == PlatformStatusCode::Unavailable || answer.code == PlatformStatusCode::Unchanged) {
         // An update without answer may have taken effect: the object is read again. An unanswered read is left to
         // claimTimeout.
-        if (wrote) {
-            const TimePoint started = promotion.stepStarted;
-            this->startClaim(world, database, actions);
-            promotion.stepStarted = started;
-        }
+        if (wrote)
+            this->readClaim(world, database, actions);
         return;
     }
 
@@ -740,7 +754,7 @@
         promotion.claimedTerm = std::max(promotion.claimedTerm, record->term);
         const bool own = record->promoter == world.selfName() && record->incarnation == world.incarnation;
         if (own && promotion.claimSequence != 0 && record->sequence == promotion.claimSequence
-            && record->term == promotion.term && record->term > row.history.lastTerm() && wrote) {
+            && record->term == promotion.term && record->term > row.history.lastTerm()) {
             this->beginFence(world, database, promotion.term, actions);
             return;
         }
@@ -765,6 +779,7 @@
 
     promotion.term = highestTerm(row) + 1;
     promotion.claimWriting = true;
+    promotion.claimSentAt = world.now;
     promotion.claimVersion = answer.version;
     promotion.platformCall = world.takeNumber();
     promotion.claimSequence = promotion.platformCall;
@@ -927,6 +942,10 @@
     const AuthorityOptions &options = world.options.authority;
     PromotionState &promotion = world.at(database).promotion;
 
+    // Servers drop silent control connections, and the wait is longer than they allow.
+    for (std::size_t index = 0; index < promotion.members.size(); ++index)
+        this->probe(world, database, index, false, world.options.ownership.pingInterval, actions);
+
     if (promotion.leaseTaken) {
         // A twentieth more covers clocks of different speed.
         const TimePoint over = promotion.leaseTakenAt + options.leaseDuration + options.leaseDuration / 20;
@@ -948,10 +967,12 @@
     PromotionState &promotion = row.promotion;
     const std::size_t index = memberIndex(row, promotion.candidate);
     const PromotionMember &member = promotion.members[index];
-    if (!member.open || member.serial != 0) {
+    if (!member.open) {
         this->fail(world, database, "connection to the chosen server lost", actions);
         return;
     }
+    if (member.serial != 0)
+        return; // a status request is under way; the next tick tries again
     promotion.step = PromotionStep::Promoting;
     promotion.stepStarted = world.now;
     this->send(world, database, index, {.operation = BackendOperation::Promote, .term = promotion.term},
--- a/src/authority/promotionsystem.h
+++ b/src/authority/promotionsystem.h
@@ -48,6 +48,7 @@
     void tickCatchingUp(World &world, DatabaseId database, Actions &actions);
     void pauseWrites(World &world, DatabaseId database, bool paused, Actions &actions);
     void startClaim(World &world, DatabaseId database, Actions &actions);
+    void readClaim(World &world, DatabaseId database, Actions &actions);
     void claimAnswered(World &world, DatabaseId database, const PlatformAnswer &answer, Actions &actions);
     void beginFence(World &world, DatabaseId database, std::uint64_t term, Actions &actions);
     void tickFencing(World &world, DatabaseId database, Actions &actions);
--- a/src/core/databaserow.h
+++ b/src/core/databaserow.h
@@ -71,6 +71,7 @@
     TimePoint coordinatesSince{0}; ///< start of that
     std::vector<PromotionMember> members; ///< same order as DatabaseRow::backends; empty until first needed
     bool claimWriting = false;            ///< the platform call under way is the conditional update
+    TimePoint claimSentAt{0};             ///< of the platform call under way
     std::uint64_t claimSequence = 0;      ///< of the last update sent; recognises it after a lost answer
     std::uint64_t claimedTerm = 0;        ///< highest term found in the promotions object
     InstanceId rival;                     ///< another live promoter named there for a newer term
