--- a/src/authority/writeauthoritypolicy.cpp
+++ b/src/authority/writeauthoritypolicy.cpp
@@ -2,8 +2,22 @@
 
 #include "core/world.h"
 
+#include <algorithm>
+
 namespace Jujubekeel {
 
+namespace {
+
+/// Whether the server's log up to \a end holds the entry. The entry may be of an earlier term than the server's, for
+/// example when the server answers a repeated request key; the term starts in between tell whether it survived.
+bool holds(const World &world, BackendId backend, LogPosition end, LogPosition entry)
+{
+    return end.term != 0 && end.term >= entry.term
+           && world.at(backend).history.relation(end, entry) == MarkRelation::Contained;
+}
+
+} // namespace
+
 std::uint32_t requiredAcknowledgements(const World &world, DatabaseId database)
 {
     return static_cast<std::uint32_t>(world.at(database).backends.size() / 2);
@@ -11,9 +25,7 @@
 
 bool GroupConfirmationPolicy::isWriteConfirmed(const World &world, BackendId backend, LogPosition position)
 {
-    const LogPosition confirmed = world.at(backend).confirmation.confirmed;
-    // Positions of different terms are not compared: an entry of an earlier term may have been replaced.
-    return confirmed.term == position.term && confirmed.position >= position.position;
+    return holds(world, backend, world.at(backend).confirmation.confirmed, position);
 }
 
 bool GroupConfirmationPolicy::isReadConfirmed(const World &world, BackendId backend, std::uint64_t term,
@@ -25,8 +37,10 @@
 
 bool PlatformLeasePolicy::isWriteConfirmed(const World &world, BackendId backend, LogPosition position)
 {
-    const LeaseState &lease = world.at(backend).confirmation.lease;
-    return lease.term == position.term && position.term != 0 && world.now < lease.validUntil;
+    const BackendRow &row = world.at(backend);
+    const LeaseState &lease = row.confirmation.lease;
+    const bool valid = lease.term != 0 && lease.term == row.history.lastTerm() && world.now < lease.validUntil;
+    return valid && holds(world, backend, std::max(row.received, row.applied), position);
 }
 
 bool PlatformLeasePolicy::isReadConfirmed(const World &world, BackendId backend, std::uint64_t term, TimePoint since)
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -67,27 +67,17 @@
            && world.now - row.ownerHeard <= world.options.membership.peerTimeout;
 }
 
-/// Whether a statement or a transaction is under way at the server.
+/// Whether a statement or a transaction is under way at the server. Queued work doesn't count: it is refused while the
+/// server is handed over.
 bool isBusy(const World &world, BackendId backend)
 {
-    bool busy = false;
-    world.executions.forEach([&](ExecutionId, const ExecutionRow &row) {
-        busy = busy || (row.backend == backend && row.step != ExecutionStep::Queued);
-    });
+    const BackendWork &work = world.workAt(backend);
+    bool busy = !work.running.empty() || !work.confirming.empty() || !work.transactionQueue.empty();
     world.transactions.forEach(
         [&](TransactionId, const TransactionRow &row) { busy = busy || row.backend == backend; });
     return busy;
 }
 
-bool waitsForConfirmation(const World &world, BackendId backend)
-{
-    bool waits = false;
-    world.executions.forEach([&](ExecutionId, const ExecutionRow &row) {
-        waits = waits || (row.backend == backend && row.step == ExecutionStep::Confirming);
-    });
-    return waits;
-}
-
 std::vector<std::pair<std::string, std::string>> describe(const World &world, BackendId backend)
 {
     const BackendRow &row = world.at(backend);
@@ -261,7 +251,7 @@
         this->monitor.observeConfirmed(world, backend, answer.status->received, state.sentAt);
     }
     // What waited for a barrier that timed out waits for the next one.
-    if (answer.code == BackendStatusCode::BarrierTimeout && waitsForConfirmation(world, backend))
+    if (answer.code == BackendStatusCode::BarrierTimeout && !world.workAt(backend).confirming.empty())
         ConfirmationSystem::request(world, backend, state.barrierPosition);
 }
 
