Retry refused statements of transactions; judge stops of paused proxies

Cause: a caller whose Rollback met a dead proxy left its transaction open, and a caller that gave up on a paused proxy was counted as cut by the later stop. Ruled out: ignoring unanswered requests at stops; lost connections and missing answers without a pause still count, which a new case of the test shows. Change: statements that were refused go to another proxy.

--- a/src/virtualfleet/workload.cpp
+++ b/src/virtualfleet/workload.cpp
@@ -259,6 +259,14 @@
         }
     }
 
+    // Nothing was sent, so the caller of a transaction tries another proxy.
+    if (isInside && request.outcome == CallerOutcome::ConnectRefused && session.repeats < this->options.repeatLimit) {
+        session.repeats += 1;
+        this->fleet.schedule(this->fleet.now() + this->options.repeatPause,
+                             [this, index, request] { this->repeat(index, request); });
+        return;
+    }
+
     if (kind == RequestKind::Begin || isInside) {
         const bool isOver = kind == RequestKind::Commit || kind == RequestKind::Rollback;
         if (kind == RequestKind::Begin && isOk)
--- a/tests/virtualfleet/historycheckertest.cpp
+++ b/tests/virtualfleet/historycheckertest.cpp
@@ -231,6 +231,15 @@
     EXPECT_EQ(countOf(builder.history, Guarantee::PlannedStopIsGraceful), 2U);
     builder.history.stops.push_back({.proxy = 2, .requestedAt = std::chrono::seconds(20)});
     EXPECT_EQ(countOf(builder.history, Guarantee::PlannedStopIsGraceful), 3U);
+
+    // A request that is never answered counts as well, unless the proxy was paused before the stop ended.
+    HistoryRequest &missing = builder.request(RequestKind::Read, "get k1", 1, 5001);
+    missing.answers.clear();
+    missing.outcome = CallerOutcome::GaveUp;
+    EXPECT_EQ(countOf(builder.history, Guarantee::PlannedStopIsGraceful), 4U);
+    builder.history.outages.push_back(
+        {.proxy = 0, .from = std::chrono::milliseconds(2), .to = std::chrono::milliseconds(40)});
+    EXPECT_EQ(countOf(builder.history, Guarantee::PlannedStopIsGraceful), 3U);
 }
 
 // P9: a version that goes back, and one that arrives too late.
