Add the shell around ProxyCore and the program jujubekeel-proxy

Cause: the decision library had no process around it. Ruled out: POCO's HTTPServer holds a thread for the whole life of a connection, so idle or waiting callers would block all others; HttpListener uses POCO's sessions and messages with its own watch thread and a bounded pool instead. Change: core thread, callers' and operators' listeners, backend connections, platform client, peer links with CBOR, records for explain and trace, logs, metrics and the command line. CallerAnswer carries the trace for the response header.

--- a/src/core/callermessages.h
+++ b/src/core/callermessages.h
@@ -65,6 +65,7 @@
     bool fromReplica = false;
     bool repeated = false; ///< the outcome of an earlier request with the same key
     Decision decision;
+    TraceContext trace; ///< trace of the request, with the entry's span as parent
 };
 
 } // namespace Jujubekeel
--- /dev/null
+++ b/src/net/backendconnections.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/action.h"
+#include "core/fleetlayout.h"
+#include "core/input.h"
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace Jujubekeel {
+
+class Logger;
+class TrafficCounters;
+
+struct BackendConnectionsOptions
+{
+    FleetLayout layout;
+    std::string instance;
+    std::uint32_t workThreads = 64; ///< open work connections; control connections are not counted
+    Duration connectTimeout = std::chrono::milliseconds(500);
+    Duration openTimeout = std::chrono::seconds(5); ///< answer to /v1/open
+};
+
+/// Performs OpenConnection, SendToBackend and CloseConnection: one thread and one HTTP connection for each. Owned by
+/// ProxyShell; open(), send() and close() are called from the core thread and do not block.
+class BackendConnections final
+{
+public:
+    using Post = std::function<void(Input input)>;
+
+    BackendConnections(BackendConnectionsOptions options, Post post, Logger &logger, TrafficCounters &counters);
+    /// Closes all connections and waits for their threads.
+    ~BackendConnections();
+    BackendConnections(const BackendConnections &) = delete;
+    BackendConnections &operator=(const BackendConnections &) = delete;
+
+    void open(const OpenConnection &action);
+    void send(SendToBackend action);
+    void close(const CloseConnection &action);
+
+    [[nodiscard]] std::size_t count() const;
+
+private:
+    struct Entry;
+    using EntryPointer = std::shared_ptr<Entry>;
+
+    void run(const EntryPointer &entry);
+    bool login(const EntryPointer &entry);
+    bool exchange(const EntryPointer &entry, const BackendRequest &request);
+    bool waitForRequest(const EntryPointer &entry, BackendRequest &request);
+    void report(const EntryPointer &entry, Input input);
+
+    BackendConnectionsOptions options;
+    Post post;
+    Logger &logger;
+    TrafficCounters &counters;
+
+    mutable std::mutex mutex;
+    std::condition_variable finished;
+    std::unordered_map<ConnectionId, EntryPointer> entries;
+    std::uint32_t workThreads = 0;
+    std::uint32_t threads = 0; ///< all that have not ended yet
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/corethread.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/proxycore.h"
+
+#include <array>
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string_view>
+#include <thread>
+#include <variant>
+
+namespace Jujubekeel {
+
+/// Steps and processor time of the core thread for one kind of input.
+struct StepFigures
+{
+    std::uint64_t steps = 0;
+    Duration time{0}; ///< wall time within ProxyCore::step and the actions that followed
+};
+
+/// Runs ProxyCore on one thread: takes inputs from a queue, adds a tick each interval, and hands each action in order to
+/// a function that must not block. Owned by ProxyShell.
+class CoreThread final
+{
+public:
+    using Perform = std::function<void(Action &action)>;
+
+    /// Inputs that may wait when they come from peers; more are refused, because a peer must not fill the memory.
+    static constexpr std::size_t peerInputLimit = 20000;
+
+    CoreThread(ProxyCoreOptions options, Perform perform);
+    ~CoreThread();
+    CoreThread(const CoreThread &) = delete;
+    CoreThread &operator=(const CoreThread &) = delete;
+
+    void start();
+    /// Ends the thread; inputs that still wait are dropped. Must not be called from the core thread.
+    void stop();
+
+    /// Queues an input; any thread.
+    void post(Input input);
+    /// Queues an input from a peer. Returns false if too many inputs wait.
+    bool postFromPeer(Input input);
+
+    /// Runs \a function on the core thread between two steps and waits for it. Returns false if the thread has stopped.
+    bool inspect(const std::function<void(const ProxyCore &)> &function);
+
+    /// Names and figures by kind of input, in the order of Input's alternatives.
+    [[nodiscard]] static std::string_view inputName(std::size_t alternative);
+    [[nodiscard]] std::array<StepFigures, std::variant_size_v<Input>> stepFigures();
+    [[nodiscard]] std::size_t queueLength() const;
+
+private:
+    struct Inspection
+    {
+        std::function<void(const ProxyCore &)> function;
+        std::promise<bool> done;
+    };
+    using Item = std::variant<Input, std::shared_ptr<Inspection>>;
+
+    void enqueue(Item item);
+    void run();
+    void step(const Input &input);
+
+    ProxyCore core;
+    Perform perform;
+    Duration tickInterval;
+    Actions actions;                                             ///< core thread only; kept to reuse its memory
+    std::array<StepFigures, std::variant_size_v<Input>> figures; ///< core thread only
+
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<Item> queue;
+    bool running = false;
+    bool stopping = false;
+    std::thread thread;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,151 @@
+#include "net/httpclient.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cassert>
+#include <istream>
+#include <ostream>
+
+namespace Jujubekeel {
+
+namespace {
+
+/// Longest answer that is read: four times the largest object of the platform.
+constexpr std::size_t answerLimit = 4U * 1024U * 1024U;
+
+std::size_t headerBytes(const Poco::Net::MessageHeader &header)
+{
+    std::size_t bytes = 2;
+    for (const auto &[name, value] : header)
+        bytes += name.size() + value.size() + 4;
+    return bytes;
+}
+
+} // namespace
+
+/// Session that fails where POCO would silently open a new connection.
+class HttpClient::Session final : public Poco::Net::HTTPClientSession
+{
+public:
+    explicit Session(const Poco::Net::StreamSocket &socket) : HTTPClientSession(socket) { this->setKeepAlive(true); }
+
+protected:
+    void connect(const Poco::Net::SocketAddress &) override
+    {
+        throw Poco::Net::ConnectionAbortedException("connection closed by the server");
+    }
+};
+
+HttpClient::HttpClient(std::string serverAddress, Duration timeout)
+    : address(std::move(serverAddress)), connectTimeout(timeout)
+{
+}
+
+HttpClient::~HttpClient()
+{
+    if (this->cancelDescriptor >= 0)
+        ::close(this->cancelDescriptor);
+}
+
+bool HttpClient::connect(std::string &error)
+{
+    assert(!this->session);
+    try {
+        Poco::Net::StreamSocket socket;
+        socket.connect(Poco::Net::SocketAddress(this->address), Poco::Timespan(this->connectTimeout.count()));
+        socket.setNoDelay(true);
+        const std::scoped_lock lock(this->mutex);
+        if (this->cancelled) {
+            error = "cancelled";
+            return false;
+        }
+        this->cancelDescriptor = ::dup(socket.impl()->sockfd());
+        this->session = std::make_unique<Session>(socket);
+        return true;
+    } catch (const Poco::Exception &exception) {
+        error = exception.displayText();
+        return false;
+    }
+}
+
+std::optional<HttpClientReply> HttpClient::exchange(const HttpClientCall &call, Duration timeout, std::string &error)
+{
+    assert(this->session);
+    try {
+        Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        request.setHost(this->address);
+        request.setKeepAlive(true);
+        for (const auto &[name, value] : call.headers)
+            request.set(name, value);
+        if (call.method != "GET") {
+            request.setContentType("application/json");
+            request.setContentLength64(static_cast<Poco::Int64>(call.body.size()));
+        }
+        if (this->session->connected())
+            this->session->socket().setReceiveTimeout(Poco::Timespan(timeout.count()));
+        std::ostream &output = this->session->sendRequest(request);
+        output.write(call.body.data(), static_cast<std::streamsize>(call.body.size()));
+        output.flush();
+        this->sent = call.method.size() + call.path.size() + 12 + headerBytes(request) + call.body.size();
+
+        Poco::Net::HTTPResponse response;
+        std::istream &input = this->session->receiveResponse(response);
+        HttpClientReply reply{.status = static_cast<int>(response.getStatus()), .body = {}};
+        std::array<char, 8192> buffer{};
+        while (input) {
+            input.read(buffer.data(), buffer.size());
+            reply.body.append(buffer.data(), static_cast<std::size_t>(input.gcount()));
+            if (reply.body.size() > answerLimit) {
+                error = "answer is longer than " + std::to_string(answerLimit) + " bytes";
+                return std::nullopt;
+            }
+        }
+        // A connection that ends within the body looks like the end of the stream.
+        if (response.hasContentLength()
+            && reply.body.size() != static_cast<std::size_t>(response.getContentLength64())) {
+            error = "answer ends after " + std::to_string(reply.body.size()) + " bytes";
+            return std::nullopt;
+        }
+        this->received = response.getReason().size() + 15 + headerBytes(response) + reply.body.size();
+        return reply;
+    } catch (const Poco::Exception &exception) {
+        error = exception.displayText();
+        return std::nullopt;
+    } catch (const std::exception &exception) {
+        error = exception.what();
+        return std::nullopt;
+    }
+}
+
+void HttpClient::cancel()
+{
+    const std::scoped_lock lock(this->mutex);
+    this->cancelled = true;
+    if (this->cancelDescriptor >= 0)
+        ::shutdown(this->cancelDescriptor, SHUT_RDWR);
+}
+
+bool HttpClient::isStale() const
+{
+    pollfd watched{.fd = this->descriptor(), .events = POLLIN | POLLRDHUP, .revents = 0};
+    return watched.fd < 0 || ::poll(&watched, 1, 0) != 0;
+}
+
+int HttpClient::descriptor() const
+{
+    const std::scoped_lock lock(this->mutex);
+    return this->cancelDescriptor;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/httplistener.cpp
@@ -0,0 +1,526 @@
+#include "net/httplistener.h"
+
+#include "net/boottime.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/StreamSocketImpl.h>
+#include <Poco/String.h>
+#include <Poco/URI.h>
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cassert>
+#include <cerrno>
+#include <istream>
+#include <optional>
+
+namespace Jujubekeel {
+
+namespace {
+
+/// Gives access to the number of bytes that were read beyond the present request.
+class BufferedSession final : public Poco::Net::HTTPServerSession
+{
+public:
+    using HTTPServerSession::HTTPServerSession;
+    using HTTPSession::buffered;
+};
+
+enum class Phase : std::uint8_t {
+    Parked,  ///< no request; watched for input
+    Reading, ///< a worker reads a request
+    Waiting, ///< the handler has the request; watched for the end of the connection
+    Writing, ///< a worker writes the answer
+    Closed,
+};
+
+/// Unread input after which a refused connection is closed without reading on.
+constexpr std::size_t drainLimit = 4U * 1024U * 1024U;
+
+std::atomic<std::uint64_t> nextExchange{1};
+
+Poco::Timespan toTimespan(Duration duration)
+{
+    return Poco::Timespan(duration.count());
+}
+
+} // namespace
+
+struct HttpListener::Connection
+{
+    Poco::Net::StreamSocket socket;
+    std::unique_ptr<BufferedSession> session;
+    std::unique_ptr<Poco::Net::HTTPServerResponseImpl> response;
+    std::unique_ptr<Poco::Net::HTTPServerRequestImpl> request;
+    int descriptor = -1;
+    // Guarded by State::mutex.
+    Phase phase = Phase::Parked;
+    TimePoint since{0};
+    std::uint64_t exchange = 0;
+    HttpReply reply;
+};
+
+struct HttpListener::State
+{
+    Poco::Net::ServerSocket server;
+    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+    int epoll = -1;
+    int wake = -1;
+
+    mutable std::mutex mutex;
+    std::condition_variable workAvailable;
+    std::condition_variable idle;
+    std::map<int, ConnectionPointer> connections; ///< by descriptor
+    std::map<std::uint64_t, ConnectionPointer> exchanges;
+    std::deque<ConnectionPointer> work;
+    std::uint32_t busy = 0; ///< connections between the start of a request and the end of its answer
+    std::uint64_t refused = 0;
+    bool accepting = true;
+    bool stopping = false;
+};
+
+std::string HttpCall::header(std::string_view name) const
+{
+    for (const auto &[key, value] : this->headers) {
+        if (Poco::icompare(key, std::string(name)) == 0)
+            return value;
+    }
+    return {};
+}
+
+HttpListener::HttpListener(HttpListenerOptions listenerOptions, Handler handlerFunction, Gone goneFunction,
+                           ErrorReply errorFunction)
+    : options(std::move(listenerOptions)), handler(std::move(handlerFunction)), gone(std::move(goneFunction)),
+      errorReply(std::move(errorFunction)), state(std::make_unique<State>())
+{
+    assert(this->handler && this->gone && this->errorReply && this->options.threads > 0);
+    this->state->server.bind(Poco::Net::SocketAddress(this->options.address), true, false);
+    this->state->server.listen(256);
+    this->state->server.setBlocking(false);
+    this->boundAddress = this->state->server.address().toString();
+    this->state->epoll = epoll_create1(EPOLL_CLOEXEC);
+    this->state->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    if (this->state->epoll < 0 || this->state->wake < 0)
+        throw Poco::IOException("cannot create an event queue", errno);
+
+    for (const int descriptor : {this->state->server.impl()->sockfd(), this->state->wake}) {
+        epoll_event event{};
+        event.events = EPOLLIN;
+        event.data.fd = descriptor;
+        epoll_ctl(this->state->epoll, EPOLL_CTL_ADD, descriptor, &event);
+    }
+}
+
+HttpListener::~HttpListener()
+{
+    this->stop(Duration{0});
+    ::close(this->state->epoll);
+    ::close(this->state->wake);
+}
+
+std::size_t HttpListener::connectionCount() const
+{
+    const std::scoped_lock lock(this->state->mutex);
+    return this->state->connections.size();
+}
+
+std::uint64_t HttpListener::refusedConnections() const
+{
+    const std::scoped_lock lock(this->state->mutex);
+    return this->state->refused;
+}
+
+void HttpListener::start()
+{
+    assert(this->workers.empty());
+    this->watcher = std::thread([this] { this->watch(); });
+    for (std::uint32_t index = 0; index < this->options.threads; ++index)
+        this->workers.emplace_back([this] { this->work(); });
+}
+
+void HttpListener::stop(Duration wait)
+{
+    // Let the requests under way finish.
+    {
+        std::unique_lock lock(this->state->mutex);
+        this->state->accepting = false;
+        epoll_ctl(this->state->epoll, EPOLL_CTL_DEL, this->state->server.impl()->sockfd(), nullptr);
+        this->state->idle.wait_for(lock, wait, [this] { return this->state->busy == 0; });
+
+        // A blocked read or write of a worker ends at once when its socket is shut down.
+        this->state->stopping = true;
+        for (const auto &[descriptor, connection] : this->state->connections)
+            ::shutdown(descriptor, SHUT_RDWR);
+    }
+    this->state->workAvailable.notify_all();
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(this->state->wake, &one, sizeof one);
+    if (this->watcher.joinable())
+        this->watcher.join();
+    for (std::thread &worker : this->workers)
+        worker.join();
+    this->workers.clear();
+
+    const std::scoped_lock lock(this->state->mutex);
+    this->state->exchanges.clear();
+    this->state->work.clear();
+    this->state->connections.clear();
+    this->state->server.close();
+}
+
+void HttpListener::respond(std::uint64_t exchange, HttpReply reply)
+{
+    const std::scoped_lock lock(this->state->mutex);
+    const auto found = this->state->exchanges.find(exchange);
+    if (found == this->state->exchanges.end())
+        return;
+    const ConnectionPointer connection = found->second;
+    this->state->exchanges.erase(found);
+    connection->reply = std::move(reply);
+    // A handler may answer before readRequest has returned; that worker then writes the answer itself.
+    const bool waiting = connection->phase == Phase::Waiting;
+    connection->phase = Phase::Writing;
+    connection->since = bootTime();
+    if (waiting) {
+        this->state->work.push_back(connection);
+        this->state->workAvailable.notify_one();
+    }
+}
+
+void HttpListener::enqueue(const ConnectionPointer &connection)
+{
+    // The caller holds the mutex.
+    connection->phase = Phase::Reading;
+    connection->since = bootTime();
+    this->state->busy += 1;
+    this->state->work.push_back(connection);
+    this->state->workAvailable.notify_one();
+}
+
+void HttpListener::watch()
+{
+    std::array<epoll_event, 64> events{};
+    TimePoint nextSweep = bootTime();
+    while (true) {
+        const int count = epoll_wait(this->state->epoll, events.data(), static_cast<int>(events.size()), 500);
+        std::vector<std::uint64_t> goneExchanges;
+        bool acceptable = false;
+        {
+            const std::scoped_lock lock(this->state->mutex);
+            if (this->state->stopping)
+                return;
+            for (int index = 0; index < count; ++index) {
+                const int descriptor = events.at(static_cast<std::size_t>(index)).data.fd;
+                if (descriptor == this->state->server.impl()->sockfd()) {
+                    acceptable = this->state->accepting;
+                    continue;
+                }
+                const auto found = this->state->connections.find(descriptor);
+                if (found == this->state->connections.end())
+                    continue;
+                const ConnectionPointer connection = found->second;
+                if (connection->phase == Phase::Parked) {
+                    this->enqueue(connection);
+                } else if (connection->phase == Phase::Waiting) {
+                    // The client closed its side: nobody waits for the answer any more.
+                    goneExchanges.push_back(connection->exchange);
+                    this->state->exchanges.erase(connection->exchange);
+                    connection->phase = Phase::Closed;
+                    this->state->connections.erase(found);
+                    this->state->busy -= 1;
+                    this->state->idle.notify_all();
+                }
+            }
+        }
+        for (const std::uint64_t exchange : goneExchanges)
+            this->gone(exchange);
+        if (acceptable)
+            this->acceptConnections();
+        if (bootTime() >= nextSweep) {
+            this->closeOverdue();
+            nextSweep = bootTime() + std::chrono::milliseconds(500);
+        }
+    }
+}
+
+void HttpListener::acceptConnections()
+{
+    while (true) {
+        const int descriptor = ::accept4(this->state->server.impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
+        if (descriptor < 0)
+            return;
+        const std::scoped_lock lock(this->state->mutex);
+        auto connection = std::make_shared<Connection>();
+        connection->socket = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(descriptor));
+        connection->descriptor = descriptor;
+        if (this->state->connections.size() >= this->options.maxConnections) {
+            // Best effort: the text fits into the empty send buffer, so this does not block.
+            this->state->refused += 1;
+            const std::string body = this->errorReply(ResultCode::QueueFull, "too many connections").body;
+            const std::string text = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: "
+                                     "application/json\r\nContent-Length: "
+                                     + std::to_string(body.size()) + "\r\n\r\n" + body;
+            [[maybe_unused]] const auto sent =
+                ::send(descriptor, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+            ::shutdown(descriptor, SHUT_WR);
+            continue;
+        }
+        try {
+            connection->socket.setNoDelay(true);
+            connection->socket.setReceiveTimeout(toTimespan(this->options.readTimeout));
+            connection->socket.setSendTimeout(toTimespan(this->options.readTimeout));
+            connection->session = std::make_unique<BufferedSession>(connection->socket, this->state->params);
+        } catch (const Poco::Exception &) {
+            continue; // the client has closed already
+        }
+        connection->since = bootTime();
+        this->state->connections.emplace(descriptor, connection);
+        epoll_event event{};
+        event.events = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
+        event.data.fd = descriptor;
+        epoll_ctl(this->state->epoll, EPOLL_CTL_ADD, descriptor, &event);
+    }
+}
+
+void HttpListener::closeOverdue()
+{
+    const std::scoped_lock lock(this->state->mutex);
+    const TimePoint now = bootTime();
+    for (auto entry = this->state->connections.begin(); entry != this->state->connections.end();) {
+        Connection &connection = *entry->second;
+        const Duration age = now - connection.since;
+        if (connection.phase == Phase::Parked && age > this->options.idleTimeout) {
+            connection.phase = Phase::Closed;
+            entry = this->state->connections.erase(entry);
+            continue;
+        }
+        // The worker that reads or writes notices the shutdown and closes the connection.
+        if ((connection.phase == Phase::Reading || connection.phase == Phase::Writing)
+            && age > this->options.readTimeout)
+            ::shutdown(connection.descriptor, SHUT_RDWR);
+        ++entry;
+    }
+}
+
+void HttpListener::work()
+{
+    while (true) {
+        ConnectionPointer connection;
+        Phase phase = Phase::Closed;
+        {
+            std::unique_lock lock(this->state->mutex);
+            this->state->workAvailable.wait(lock,
+                                            [this] { return this->state->stopping || !this->state->work.empty(); });
+            if (this->state->work.empty())
+                return;
+            connection = this->state->work.front();
+            this->state->work.pop_front();
+            phase = connection->phase;
+        }
+        if (phase == Phase::Reading)
+            this->readRequest(connection);
+        else if (phase == Phase::Writing)
+            this->writeReply(connection);
+    }
+}
+
+void HttpListener::readRequest(const ConnectionPointer &connection)
+{
+    HttpCall call;
+    try {
+        connection->request.reset();
+        connection->response = std::make_unique<Poco::Net::HTTPServerResponseImpl>(*connection->session);
+        connection->request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(
+            *connection->response, *connection->session, this->state->params.get());
+        Poco::Net::HTTPServerRequestImpl &request = *connection->request;
+
+        // Size and framing of the body.
+        const bool chunked = request.getChunkedTransferEncoding();
+        if (chunked && request.hasContentLength()) {
+            this->refuseRequest(connection, ResultCode::MalformedRequest,
+                                "header: Content-Length and Transfer-Encoding exclude each other");
+            return;
+        }
+        if (request.hasContentLength() && request.getContentLength64() < 0) {
+            this->refuseRequest(connection, ResultCode::MalformedRequest, "header: Content-Length is negative");
+            return;
+        }
+        if (request.hasContentLength() && request.getContentLength64() > this->options.maxBodyBytes) {
+            this->refuseRequest(connection, ResultCode::RequestTooLarge,
+                                "body: " + std::to_string(request.getContentLength64()) + " bytes, limit "
+                                    + std::to_string(this->options.maxBodyBytes));
+            return;
+        }
+        // Without either header there is no body; POCO would read one up to the end of the connection.
+        const bool hasBody = chunked || request.hasContentLength();
+        if (request.getExpectContinue())
+            connection->response->sendContinue();
+
+        // Read one byte more than the limit, to notice a chunked body that is too large.
+        if (hasBody) {
+            std::array<char, 16384> buffer{};
+            std::istream &input = request.stream();
+            while (input && call.body.size() <= this->options.maxBodyBytes) {
+                input.read(buffer.data(), buffer.size());
+                call.body.append(buffer.data(), static_cast<std::size_t>(input.gcount()));
+            }
+            if (call.body.size() > this->options.maxBodyBytes) {
+                this->refuseRequest(connection, ResultCode::RequestTooLarge,
+                                    "body: byte " + std::to_string(this->options.maxBodyBytes)
+                                        + ": past the limit of the settings");
+                return;
+            }
+            if (request.hasContentLength()
+                && call.body.size() != static_cast<std::size_t>(request.getContentLength64())) {
+                this->refuseRequest(connection, ResultCode::MalformedRequest,
+                                    "body: byte " + std::to_string(call.body.size()) + ": ends early");
+                return;
+            }
+        }
+
+        call.method = request.getMethod();
+        call.clientAddress = request.clientAddress().host().toString();
+        call.path = Poco::URI(request.getURI()).getPath();
+        call.headers.reserve(request.size());
+        for (const auto &[name, value] : request)
+            call.headers.emplace_back(name, value);
+    } catch (const Poco::Net::NoMessageException &) {
+        this->close(connection); // closed by the client between two requests
+        return;
+    } catch (const Poco::TimeoutException &) {
+        this->close(connection);
+        return;
+    } catch (const Poco::Net::ConnectionResetException &) {
+        this->close(connection);
+        return;
+    } catch (const Poco::Exception &error) {
+        this->refuseRequest(connection, ResultCode::MalformedRequest, "request line or header: " + error.displayText());
+        return;
+    } catch (const std::exception &error) {
+        this->refuseRequest(connection, ResultCode::MalformedRequest,
+                            std::string("request line or header: ") + error.what());
+        return;
+    }
+
+    // From here the handler may answer at any time, from any thread.
+    call.exchange = nextExchange.fetch_add(1);
+    {
+        const std::scoped_lock lock(this->state->mutex);
+        connection->exchange = call.exchange;
+        this->state->exchanges.emplace(call.exchange, connection);
+    }
+    this->handler(std::move(call));
+
+    {
+        const std::scoped_lock lock(this->state->mutex);
+        if (connection->phase == Phase::Reading) {
+            connection->phase = Phase::Waiting;
+            connection->since = bootTime();
+            epoll_event event{};
+            event.events = EPOLLRDHUP | EPOLLONESHOT;
+            event.data.fd = connection->descriptor;
+            epoll_ctl(this->state->epoll, EPOLL_CTL_MOD, connection->descriptor, &event);
+            return;
+        }
+    }
+    this->writeReply(connection);
+}
+
+void HttpListener::sendReply(Connection &connection, const HttpReply &reply, bool keepAlive)
+{
+    Poco::Net::HTTPServerResponseImpl &response = *connection.response;
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status));
+    response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    response.setContentType(reply.contentType);
+    response.setKeepAlive(keepAlive);
+    for (const auto &[name, value] : reply.headers)
+        response.set(name, value);
+    response.sendBuffer(reply.body.data(), reply.body.size());
+    // POCO flushes the answer when the response goes.
+    connection.request.reset();
+    connection.response.reset();
+}
+
+void HttpListener::writeReply(const ConnectionPointer &connection)
+{
+    bool keepAlive = false;
+    try {
+        keepAlive = connection->request->getKeepAlive();
+        this->sendReply(*connection, connection->reply, keepAlive);
+    } catch (const std::exception &) {
+        keepAlive = false; // the client does not read; its connection ends
+    }
+    if (keepAlive)
+        this->park(connection);
+    else
+        this->close(connection);
+}
+
+void HttpListener::refuseRequest(const ConnectionPointer &connection, ResultCode code, const std::string &text)
+{
+    try {
+        if (!connection->response || connection->response->sent())
+            connection->response = std::make_unique<Poco::Net::HTTPServerResponseImpl>(*connection->session);
+        this->sendReply(*connection, this->errorReply(code, text), false);
+
+        // Closing with unread input would reset the connection before the client has read the answer.
+        connection->socket.shutdownSend();
+        std::array<char, 16384> buffer{};
+        std::size_t drained = 0;
+        connection->socket.setReceiveTimeout(Poco::Timespan(0, 500'000));
+        while (drained < drainLimit) {
+            const int received = connection->socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            if (received <= 0)
+                break;
+            drained += static_cast<std::size_t>(received);
+        }
+    } catch (const std::exception &) {
+        // The client is gone or does not read; closing is all that is left.
+    }
+    this->close(connection);
+}
+
+void HttpListener::park(const ConnectionPointer &connection)
+{
+    const std::scoped_lock lock(this->state->mutex);
+    this->state->busy -= 1;
+    this->state->idle.notify_all();
+    if (this->state->stopping)
+        return;
+    connection->phase = Phase::Parked;
+    connection->since = bootTime();
+    if (connection->session->buffered() > 0) {
+        // The next request has arrived with this one.
+        this->enqueue(connection);
+        return;
+    }
+    epoll_event event{};
+    event.events = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
+    event.data.fd = connection->descriptor;
+    epoll_ctl(this->state->epoll, EPOLL_CTL_MOD, connection->descriptor, &event);
+}
+
+void HttpListener::close(const ConnectionPointer &connection)
+{
+    const std::scoped_lock lock(this->state->mutex);
+    this->state->busy -= 1;
+    this->state->idle.notify_all();
+    connection->phase = Phase::Closed;
+    this->state->connections.erase(connection->descriptor);
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/logger.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/action.h"
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace Jujubekeel {
+
+struct LoggerOptions
+{
+    std::string instance;            ///< written into each line
+    LogLevel level = LogLevel::Info; ///< lower levels are not written
+    std::uint32_t repeatLimit = 20;  ///< lines of one event in each repeatWindow; more are counted, not written
+    Duration repeatWindow = std::chrono::seconds(10);
+    std::size_t queueLimit = 8192; ///< lines that wait for the writer; more are dropped and counted
+};
+
+using LogFields = std::vector<std::pair<std::string, std::string>>;
+
+/// Writes JSON lines to standard output through easylogging++. A thread of its own writes them, because a reader that
+/// does not empty the pipe must not block the core thread. Owned by ProxyShell; callable from any thread.
+class Logger final
+{
+public:
+    explicit Logger(LoggerOptions options);
+    ~Logger();
+    Logger(const Logger &) = delete;
+    Logger &operator=(const Logger &) = delete;
+
+    void write(LogLevel level, const std::string &event, const LogFields &fields);
+    void writeSpan(const Span &span);
+
+    [[nodiscard]] std::uint64_t droppedLines() const;
+
+    /// One line as it is written, without the line feed. \a wallClock is the time since 1970.
+    [[nodiscard]] static std::string formatLine(Duration wallClock, LogLevel level, const std::string &instance,
+                                                const std::string &event, const LogFields &fields);
+
+private:
+    struct EventWindow
+    {
+        TimePoint start{0};
+        std::uint32_t written = 0;
+        std::uint64_t suppressed = 0;
+    };
+
+    void enqueue(std::string line);
+    void run();
+
+    LoggerOptions options;
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<std::string> lines;
+    std::map<std::string, EventWindow, std::less<>> windows;
+    std::uint64_t dropped = 0;
+    bool stopping = false;
+    std::thread writer;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/peerlinks.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/action.h"
+#include "core/fleetlayout.h"
+#include "core/input.h"
+#include "net/peersocket.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Jujubekeel {
+
+class Logger;
+class TrafficCounters;
+
+struct PeerLinksOptions
+{
+    FleetLayout layout;
+    InstanceId self;
+    std::vector<std::string> keys;
+    Duration connectTimeout = std::chrono::milliseconds(500);
+};
+
+/// Sends and receives PeerMessage over PeerSocket. Owned by ProxyShell; send() is called from the core thread and does
+/// not block.
+class PeerLinks final
+{
+public:
+    /// Returns false if the core's queue is full; the message is then dropped.
+    using Post = std::function<bool(Input input)>;
+
+    /// Binds the own peer address; throws std::runtime_error if that fails or no key is given.
+    PeerLinks(PeerLinksOptions options, Post post, Logger &logger, TrafficCounters &counters);
+
+    void start();
+    /// Sends what is queued for at most \a flush, then closes all connections.
+    void stop(Duration flush);
+    void send(const SendToPeer &action);
+
+    [[nodiscard]] std::string address() const { return this->socket->address(); }
+    [[nodiscard]] std::vector<PeerLinkState> states() const { return this->socket->states(); }
+
+private:
+    void receive(const std::string &peer, std::string_view bytes);
+
+    PeerLinksOptions options;
+    Post post;
+    Logger &logger;
+    TrafficCounters &counters;
+    std::unique_ptr<PeerSocket> socket;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/platformclient.cpp
@@ -0,0 +1,160 @@
+#include "net/platformclient.h"
+
+#include "net/boottime.h"
+#include "net/httpclient.h"
+#include "net/trafficcounters.h"
+#include "wire/platformjson.h"
+
+#include <Poco/URI.h>
+
+#include <algorithm>
+#include <cassert>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace Jujubekeel {
+
+namespace {
+
+std::string objectPath(const std::string &key)
+{
+    std::string encoded;
+    Poco::URI::encode(key, "/?#&=+%", encoded);
+    return "/v1/objects/" + encoded;
+}
+
+HttpClientCall toHttp(const PlatformCall &call)
+{
+    switch (call.operation) {
+    case PlatformOperation::Get:
+        return {.method = "GET", .path = objectPath(call.key), .headers = {}, .body = {}};
+    case PlatformOperation::Put:
+        return {.method = "PUT",
+                .path = objectPath(call.key),
+                .headers = {{"If-Match", std::to_string(call.expectedVersion)}},
+                .body = call.value};
+    case PlatformOperation::Watch: {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(call.wait).count();
+        return {.method = "GET",
+                .path = objectPath(call.key) + "?after=" + std::to_string(call.expectedVersion)
+                        + "&wait_ms=" + std::to_string(wait),
+                .headers = {},
+                .body = {}};
+    }
+    case PlatformOperation::ListInstances:
+        return {.method = "GET", .path = "/v1/instances", .headers = {}, .body = {}};
+    }
+    return {};
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(PlatformClientOptions clientOptions, Post postFunction, TrafficCounters &trafficCounters)
+    : options(std::move(clientOptions)), post(std::move(postFunction)), counters(trafficCounters)
+{
+    assert(this->post && this->options.callThreads > 0 && this->options.watchThreads > 0);
+    for (std::uint32_t index = 0; index < this->options.callThreads; ++index)
+        this->calls.threads.emplace_back([this] { this->run(this->calls); });
+    for (std::uint32_t index = 0; index < this->options.watchThreads; ++index)
+        this->watches.threads.emplace_back([this] { this->run(this->watches); });
+}
+
+PlatformClient::~PlatformClient()
+{
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->stopping = true;
+        for (const auto &weak : this->clients) {
+            if (const auto client = weak.lock())
+                client->cancel();
+        }
+    }
+    this->changed.notify_all();
+    for (Lane *lane : {&this->calls, &this->watches}) {
+        for (std::thread &thread : lane->threads)
+            thread.join();
+    }
+}
+
+void PlatformClient::call(const CallPlatform &action)
+{
+    const PlatformCall &call = action.call;
+    Lane &lane = call.operation == PlatformOperation::Watch ? this->watches : this->calls;
+    {
+        const std::scoped_lock lock(this->mutex);
+        if (!this->stopping && lane.jobs.size() < this->options.queueLimit) {
+            lane.jobs.push_back(Job{.call = call, .deadline = bootTime() + call.wait + this->options.callTimeout});
+            this->changed.notify_all();
+            return;
+        }
+    }
+    this->counters.add("jujubekeel_platform_calls_refused_total");
+    this->post(PlatformAnswered{.answer = {.call = call.call, .code = PlatformStatusCode::Unavailable}});
+}
+
+void PlatformClient::run(Lane &lane)
+{
+    std::shared_ptr<HttpClient> client; // kept between calls
+    while (true) {
+        Job job;
+        {
+            std::unique_lock lock(this->mutex);
+            this->changed.wait(lock, [&] { return this->stopping || !lane.jobs.empty(); });
+            if (this->stopping)
+                return;
+            job = std::move(lane.jobs.front());
+            lane.jobs.pop_front();
+        }
+        this->post(PlatformAnswered{.answer = this->perform(client, job)});
+    }
+}
+
+std::shared_ptr<HttpClient> PlatformClient::connect(std::string &error)
+{
+    auto client = std::make_shared<HttpClient>(this->options.address, this->options.connectTimeout);
+    {
+        const std::scoped_lock lock(this->mutex);
+        if (this->stopping)
+            return nullptr;
+        std::erase_if(this->clients, [](const auto &weak) { return weak.expired(); });
+        this->clients.push_back(client);
+    }
+    return client->connect(error) ? client : nullptr;
+}
+
+PlatformAnswer PlatformClient::perform(std::shared_ptr<HttpClient> &client, const Job &job)
+{
+    const PlatformAnswer unavailable{.call = job.call.call, .code = PlatformStatusCode::Unavailable};
+    std::string error;
+    if (client && client->isStale())
+        client.reset();
+    if (!client)
+        client = this->connect(error);
+
+    // A call that waited for a thread past its time is not sent any more.
+    const Duration left = job.deadline - bootTime();
+    if (!client || left.count() <= 0) {
+        this->counters.add("jujubekeel_platform_calls_failed_total");
+        return unavailable;
+    }
+    const std::string_view kind = platformOperationName(job.call.operation);
+    const auto reply = client->exchange(toHttp(job.call), left, error);
+    this->counters.count("platform", TrafficCounters::Direction::Sent, kind, client->bytesSent());
+    if (!reply) {
+        client.reset(); // a late answer must not be taken for that of the next call
+        this->counters.add("jujubekeel_platform_calls_failed_total");
+        return unavailable;
+    }
+    this->counters.count("platform", TrafficCounters::Direction::Received, kind, client->bytesReceived());
+    LastReason reason;
+    auto answer = platformAnswerFromText(reply->body, reason);
+    if (!answer) {
+        this->counters.add("jujubekeel_platform_calls_failed_total");
+        return unavailable;
+    }
+    answer->call = job.call.call;
+    return *answer;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/proxyshell.cpp
@@ -0,0 +1,215 @@
+#include "net/proxyshell.h"
+
+#include "net/boottime.h"
+#include "net/metrics.h"
+#include "net/statusreport.h"
+
+#include <array>
+#include <cassert>
+#include <cstdio>
+#include <type_traits>
+#include <utility>
+
+namespace Jujubekeel {
+
+namespace {
+
+/// Time for answers that are being written when the core asks for the end.
+constexpr Duration answerWait = std::chrono::seconds(2);
+constexpr Duration peerFlush = std::chrono::milliseconds(500);
+
+std::string seconds(Duration duration)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.6f", std::chrono::duration<double>(duration).count());
+    return text.data();
+}
+
+} // namespace
+
+ProxyShell::ProxyShell(ProxySettings proxySettings, LoggerOptions logging, std::function<void()> stoppedFunction)
+    : settings(std::move(proxySettings)), stopped(std::move(stoppedFunction)), logger(std::move(logging)),
+      records(this->settings.shell.explainLimit, this->settings.shell.spanLimit)
+{
+    assert(this->settings.self.isValid() && this->stopped);
+    const FleetLayout &layout = this->settings.layout;
+    const InstanceSettings &self = layout.at(this->settings.self);
+    const ShellOptions &shell = this->settings.shell;
+
+    // Wall-clock time as incarnation is larger after each restart, also when the machine was restarted.
+    this->core = std::make_unique<CoreThread>(
+        ProxyCoreOptions{.layout = layout,
+                         .proxy = this->settings.options,
+                         .self = this->settings.self,
+                         .incarnation = static_cast<std::uint64_t>(wallClockTime().count())},
+        [this](Action &action) { this->perform(action); });
+    const auto post = [this](Input input) { this->core->post(std::move(input)); };
+
+    this->backends =
+        std::make_unique<BackendConnections>(BackendConnectionsOptions{.layout = layout,
+                                                                       .instance = self.name,
+                                                                       .workThreads = shell.backendThreads,
+                                                                       .connectTimeout = shell.connectTimeout},
+                                             post, this->logger, this->counters);
+    this->platform =
+        std::make_unique<PlatformClient>(PlatformClientOptions{.address = this->settings.platformAddress,
+                                                               .connectTimeout = shell.connectTimeout,
+                                                               .callTimeout = this->settings.options.rules.callTimeout},
+                                         post, this->counters);
+    this->peers = std::make_unique<PeerLinks>(
+        PeerLinksOptions{.layout = layout,
+                         .self = this->settings.self,
+                         .keys = this->settings.peerKeys,
+                         .connectTimeout = shell.connectTimeout},
+        [this](Input input) { return this->core->postFromPeer(std::move(input)); }, this->logger, this->counters);
+    this->callers =
+        std::make_unique<CallerServer>(CallerServerOptions{.listener = {.address = self.callerAddress,
+                                                                        .threads = shell.callerThreads,
+                                                                        .maxConnections = shell.maxConnections,
+                                                                        .maxBodyBytes = shell.maxRequestBytes,
+                                                                        .idleTimeout = shell.idleTimeout},
+                                                           .instance = self.name},
+                                       post, this->records, this->counters);
+    this->operators = std::make_unique<OperatorServer>(
+        HttpListenerOptions{.address = self.operatorAddress,
+                            .threads = shell.operatorThreads,
+                            .maxConnections = 64,
+                            .maxBodyBytes = 4096,
+                            .idleTimeout = shell.idleTimeout},
+        this->settings.operatorKeys,
+        OperatorFunctions{.status = [this] { return this->status(); },
+                          .metrics = [this] { return this->metrics(); },
+                          .rules = [this] { return this->rules(); },
+                          .explain = [this](const std::string &id) { return this->records.explain(id); },
+                          .trace = [this](const std::string &id) { return this->records.trace(id); },
+                          .drain = [this] { this->requestStop(); }});
+}
+
+ProxyShell::~ProxyShell()
+{
+    this->stop();
+}
+
+void ProxyShell::start()
+{
+    assert(!this->running);
+    this->running = true;
+    this->logger.write(LogLevel::Info, "started",
+                       {{"failure_domain", this->settings.layout.at(this->settings.self).failureDomain},
+                        {"callers", this->callerAddress()},
+                        {"peers", this->peerAddress()},
+                        {"operators", this->operatorAddress()}});
+    this->core->start();
+    this->peers->start();
+    this->callers->start();
+    this->operators->start();
+}
+
+void ProxyShell::requestStop()
+{
+    this->callers->announceStop();
+    this->core->post(StopRequested{});
+}
+
+void ProxyShell::stop()
+{
+    if (!this->running)
+        return;
+    this->running = false;
+    this->callers->stop(answerWait);
+    this->operators->stop(answerWait);
+    this->peers->stop(peerFlush);
+    this->core->stop();
+    this->logger.write(LogLevel::Info, "stopped", {});
+}
+
+void ProxyShell::perform(Action &action)
+{
+    std::visit(
+        [this](auto &content) {
+            using Content = std::decay_t<decltype(content)>;
+            if constexpr (std::is_same_v<Content, AnswerCaller>) {
+                this->callers->deliver(content.answer);
+            } else if constexpr (std::is_same_v<Content, OpenConnection>) {
+                this->backends->open(content);
+            } else if constexpr (std::is_same_v<Content, SendToBackend>) {
+                this->backends->send(std::move(content));
+            } else if constexpr (std::is_same_v<Content, CloseConnection>) {
+                this->backends->close(content);
+            } else if constexpr (std::is_same_v<Content, SendToPeer>) {
+                this->peers->send(content);
+            } else if constexpr (std::is_same_v<Content, CallPlatform>) {
+                this->platform->call(content);
+            } else if constexpr (std::is_same_v<Content, WriteLog>) {
+                this->logger.write(content.level, content.event, content.fields);
+            } else if constexpr (std::is_same_v<Content, EmitSpan>) {
+                this->records.addSpan(content.span);
+                this->logger.writeSpan(content.span);
+            } else {
+                static_assert(std::is_same_v<Content, StopProcess>);
+                this->stopped();
+            }
+        },
+        action);
+}
+
+std::string ProxyShell::status()
+{
+    const std::vector<PeerLinkState> links = this->peers->states();
+    std::string text;
+    if (!this->core->inspect([&](const ProxyCore &proxy) { text = statusToJson(proxy.world(), links); }))
+        text = R"({"stopping":true})";
+    return text;
+}
+
+std::string ProxyShell::rules()
+{
+    std::string text;
+    if (!this->core->inspect([&](const ProxyCore &proxy) { text = rulesToJson(proxy.world()); }))
+        text = R"({"version":null,"text":null})";
+    return text;
+}
+
+std::string ProxyShell::metrics()
+{
+    MetricValues values;
+    const InstanceSettings &self = this->settings.layout.at(this->settings.self);
+    values["jujubekeel_instance_info{instance=\"" + self.name + "\",failure_domain=\"" + self.failureDomain + "\"}"] =
+        "1";
+
+    // Figures of the decision library.
+    this->core->inspect([&](const ProxyCore &proxy) {
+        const World &world = proxy.world();
+        for (const auto &[name, value] : world.counters.all())
+            values[name] = std::to_string(value);
+        values["jujubekeel_requests_in_flight"] = std::to_string(world.entries.size());
+        values["jujubekeel_executions"] = std::to_string(world.executions.size());
+        values["jujubekeel_transactions"] = std::to_string(world.transactions.size());
+    });
+    const auto figures = this->core->stepFigures();
+    for (std::size_t index = 0; index < figures.size(); ++index) {
+        const std::string label = "{input=\"" + std::string(CoreThread::inputName(index)) + "\"}";
+        values["jujubekeel_core_steps_total" + label] = std::to_string(figures[index].steps);
+        values["jujubekeel_core_seconds_total" + label] = seconds(figures[index].time);
+    }
+
+    // Figures of the shell.
+    for (const auto &[name, value] : this->counters.all())
+        values[name] = std::to_string(value);
+    values["jujubekeel_core_queue"] = std::to_string(this->core->queueLength());
+    values["jujubekeel_caller_connections"] = std::to_string(this->callers->connectionCount());
+    values["jujubekeel_caller_connections_refused_total"] = std::to_string(this->callers->refusedConnections());
+    values["jujubekeel_backend_connections"] = std::to_string(this->backends->count());
+    values["jujubekeel_log_lines_dropped_total"] = std::to_string(this->logger.droppedLines());
+    for (const PeerLinkState &link : this->peers->states()) {
+        const std::string label = "{peer=\"" + link.name + "\"}";
+        values["jujubekeel_peer_connected" + label] = link.connected ? "1" : "0";
+        values["jujubekeel_peer_queue_bytes" + label] = std::to_string(link.queuedBytes);
+        values["jujubekeel_peer_connects_total" + label] = std::to_string(link.connects);
+        values["jujubekeel_peer_link_dropped_total" + label] = std::to_string(link.dropped);
+    }
+    addProcessFigures(values);
+    return renderMetrics(values);
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/proxyshell.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "net/backendconnections.h"
+#include "net/callerserver.h"
+#include "net/corethread.h"
+#include "net/logger.h"
+#include "net/operatorserver.h"
+#include "net/peerlinks.h"
+#include "net/platformclient.h"
+#include "net/recordstore.h"
+#include "net/trafficcounters.h"
+#include "settings/proxysettings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Jujubekeel {
+
+/// A running daemon: ProxyCore on its thread and everything that connects it to the network. Makes no decisions. Owned by
+/// the program's main function or by a test.
+class ProxyShell final
+{
+public:
+    /// Binds all three listeners; throws std::exception if one fails. \a stopped is called from the core thread once
+    /// the core has asked for the end of the process; it must not block, and stop() must follow from another thread.
+    ProxyShell(ProxySettings settings, LoggerOptions logging, std::function<void()> stopped);
+    /// Ends everything; the same as stop().
+    ~ProxyShell();
+    ProxyShell(const ProxyShell &) = delete;
+    ProxyShell &operator=(const ProxyShell &) = delete;
+
+    void start();
+    /// Starts a planned stop; any thread. The end is told by the function given to the constructor.
+    void requestStop();
+    /// Delivers what is on its way to callers and peers for a short time, then ends all threads and connections.
+    void stop();
+
+    [[nodiscard]] const std::string &callerAddress() const { return this->callers->address(); }
+    [[nodiscard]] const std::string &operatorAddress() const { return this->operators->address(); }
+    [[nodiscard]] std::string peerAddress() const { return this->peers->address(); }
+
+private:
+    void perform(Action &action);
+    [[nodiscard]] std::string status();
+    [[nodiscard]] std::string rules();
+    [[nodiscard]] std::string metrics();
+
+    ProxySettings settings;
+    std::function<void()> stopped;
+    Logger logger;
+    TrafficCounters counters;
+    RecordStore records;
+    bool running = false;
+    // Destroyed in reverse order: the sources of inputs end before the core thread.
+    std::unique_ptr<CoreThread> core;
+    std::unique_ptr<BackendConnections> backends;
+    std::unique_ptr<PlatformClient> platform;
+    std::unique_ptr<PeerLinks> peers;
+    std::unique_ptr<CallerServer> callers;
+    std::unique_ptr<OperatorServer> operators;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/recordstore.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/action.h"
+#include "core/callermessages.h"
+
+#include <cstddef>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// Bounded records of answers by request id and of spans by trace id, for `explain` and `trace`. The oldest go first. Holds
+/// neither statements, values nor tokens. Owned by ProxyShell; any thread.
+class RecordStore final
+{
+public:
+    RecordStore(std::size_t answerLimit, std::size_t spanLimit);
+
+    /// Remembers how a request ended. \a request gives what the answer does not repeat.
+    void addAnswer(const CallerRequest &request, const CallerAnswer &answer, Duration duration);
+    void addSpan(const Span &span);
+
+    /// JSON text, or empty if nothing is known.
+    [[nodiscard]] std::optional<std::string> explain(const std::string &requestId) const;
+    [[nodiscard]] std::optional<std::string> trace(const std::string &traceId) const;
+
+private:
+    void addRecord(const std::string &id, std::string record);
+
+    std::size_t answerLimit;
+    std::size_t spanLimit;
+    mutable std::mutex mutex;
+    std::unordered_map<std::string, std::string> answers;
+    std::deque<std::string> answerOrder;
+    std::unordered_map<std::string, std::deque<std::string>> spans; ///< by trace id, oldest first
+    std::deque<std::string> spanOrder;                              ///< trace id of each span, oldest first
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/secrets.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+// This header is included by peersocket.cpp, which is compiled as C++17.
+namespace Jujubekeel {
+
+/// HMAC-SHA256 as 64 hexadecimal digits.
+[[nodiscard]] std::string hmacSha256Hex(const std::string &key, const std::string &text);
+
+/// Compares in a time that does not depend on where the texts differ.
+[[nodiscard]] bool equalSecrets(std::string_view left, std::string_view right);
+
+/// 32 hexadecimal digits from the system's random source.
+[[nodiscard]] std::string randomNonce();
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/net/trafficcounters.cpp
@@ -0,0 +1,41 @@
+#include "net/trafficcounters.h"
+
+namespace Jujubekeel {
+
+void TrafficCounters::count(std::string_view channel, Direction direction, std::string_view kind, std::size_t bytes)
+{
+    const std::scoped_lock lock(this->mutex);
+    const std::tuple<std::string_view, Direction, std::string_view> key(channel, direction, kind);
+    auto found = this->rows.find(key);
+    if (found == this->rows.end()) {
+        found = this->rows.emplace(std::tuple(std::string(channel), direction, std::string(kind)), Row{}).first;
+    }
+    found->second.messages += 1;
+    found->second.bytes += bytes;
+}
+
+void TrafficCounters::add(std::string_view name, std::uint64_t amount)
+{
+    const std::scoped_lock lock(this->mutex);
+    const auto found = this->values.find(name);
+    if (found != this->values.end())
+        found->second += amount;
+    else
+        this->values.emplace(name, amount);
+}
+
+std::map<std::string, std::uint64_t> TrafficCounters::all() const
+{
+    const std::scoped_lock lock(this->mutex);
+    std::map<std::string, std::uint64_t> result(this->values.begin(), this->values.end());
+    for (const auto &[key, row] : this->rows) {
+        const auto &[channel, direction, kind] = key;
+        const std::string labels = "{channel=\"" + channel + "\",direction=\""
+                                   + (direction == Direction::Sent ? "sent" : "received") + "\",kind=\"" + kind + "\"}";
+        result["jujubekeel_control_messages_total" + labels] = row.messages;
+        result["jujubekeel_control_bytes_total" + labels] = row.bytes;
+    }
+    return result;
+}
+
+} // namespace Jujubekeel
--- a/src/requests/requestsystem.cpp
+++ b/src/requests/requestsystem.cpp
@@ -628,7 +628,10 @@
                         .position = result.position,
                         .fromReplica = result.code == ResultCode::Ok && fromReplica,
                         .repeated = result.repeated,
-                        .decision = entry.decision};
+                        .decision = entry.decision,
+                        .trace = {.traceId = entry.request.trace.traceId,
+                                  .parentSpan = entry.spanId,
+                                  .sampled = entry.request.trace.sampled}};
     // A session without its mark gets a token only once this answer shows all that it wrote.
     if (entry.database.isValid() && (entry.markKnown || showsAll) && !entry.request.session.empty())
         answer.token =
--- /dev/null
+++ b/src/wire/spanjson.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/action.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Jujubekeel {
+
+/// Span as it stands in log lines and in answers to `GET /v1/trace/{trace id}`. Times are microseconds of the
+/// instance's monotonic clock.
+[[nodiscard]] nlohmann::ordered_json spanToJson(const Span &span);
+
+} // namespace Jujubekeel
