--- a/src/programs/jujubekeel-ctl/fleetcommands.cpp
+++ b/src/programs/jujubekeel-ctl/fleetcommands.cpp
@@ -250,8 +250,12 @@
     std::vector<std::vector<std::string>> table;
     for (const TraceLine &line : lines) {
         std::string attributes;
-        for (const auto &[name, value] : line.hop.attributes)
+        for (const auto &[name, value] : line.hop.attributes) {
+            // The instance has a column of its own.
+            if (name == "instance")
+                continue;
             attributes.append(attributes.empty() ? "" : " ").append(name).append("=").append(value);
+        }
         std::string name(2UL * line.depth, ' ');
         name += line.hop.name;
         table.push_back({name, line.hop.instance, durationText(static_cast<double>(line.hop.durationUs) / 1000.0),
