Count only the time in which the primary was heard as cut off

Cause: when the whole group came back after an absence, the first report of the primary's new owner told an old age of the confirmed log, and the coordinator took the absence for seconds without acknowledgement. A server that refused the term of a promotion under way started another one.

Ruled out: waiting for an own answer of the primary; a coordinator that cannot reach it could then never replace it.

Change: the time counts from the moment the primary has been heard without a gap. A refused term leads to a new one only after the time that a promotion in order may take, which under a lease policy includes the lease.

Conclusion: no promotion without evidence from the time in question.

--- a/src/authority/promotionsystem.cpp
+++ b/src/authority/promotionsystem.cpp
@@ -56,6 +56,22 @@
     return row.backends.size() - row.backends.size() / 2;
 }
 
+/// How long a promotion of another instance is left alone; under a lease policy it includes the wait for the lease.
+Duration patience(const World &world)
+{
+    const AuthorityOptions &options = world.options.authority;
+    return usesLease(options.policy) ? rivalPatience + 3 * options.leaseDuration / 2 : rivalPatience;
+}
+
+/// Remembers that a server accepts newer terms only than the known one.
+void noteRefusedTerm(const World &world, DatabaseRow &row, const ServerStatus &status)
+{
+    if (status.fencedTerm <= row.history.lastTerm() || row.promotion.refusedTerm >= status.fencedTerm)
+        return;
+    row.promotion.refusedTerm = status.fencedTerm;
+    row.promotion.refusedSince = world.now;
+}
+
 bool isActive(PromotionStep step)
 {
     return step != PromotionStep::Idle && step != PromotionStep::BackingOff;
@@ -290,8 +306,8 @@
         member.followWanted = false;
         logChange(world, database, backend, member.requestTerm, ok ? LogLevel::Info : LogLevel::Warning,
                   ok ? "server-follows" : "server-refused-to-follow", answer.text, actions);
-        if (answer.status && answer.status->fencedTerm > row.history.lastTerm())
-            promotion.refencingWanted = true;
+        if (answer.status)
+            noteRefusedTerm(world, row, *answer.status);
         break;
     default:
         break;
@@ -305,8 +321,7 @@
         const bool elsewhere = answer.status->role == BackendRole::Replica && row.primary.isValid()
                                && answer.status->primary != world.layout.at(row.primary).name;
         member.followWanted = backend != row.primary && (older || elsewhere);
-        if (answer.status->fencedTerm > row.history.lastTerm())
-            promotion.refencingWanted = true;
+        noteRefusedTerm(world, row, *answer.status);
     }
 }
 
@@ -414,7 +429,8 @@
     promotion.suspectSince = TimePoint{0};
     promotion.cutOffSince = TimePoint{0};
     promotion.fenceLeftSince = TimePoint{0};
-    promotion.refencingWanted = false;
+    promotion.refusedTerm = 0;
+    promotion.seenSince = TimePoint{0};
     promotion.failures = 0;
     promotion.retryDelay = Duration{0};
 }
@@ -436,6 +452,13 @@
     const Duration unconfirmedFor = known ? world.now - primary->currentAsOf : Duration{0};
     const bool suspect = known ? !ownerHeard || (replicated && unconfirmedFor > options.cutOffAfter / 3)
                                : world.now - promotion.coordinatesSince > options.suspectAfter;
+    const std::size_t primaryIndex = known ? memberIndex(row, row.primary) : row.backends.size();
+    const bool answersHere = known && promotion.members[primaryIndex].answeredAt != TimePoint{0}
+                             && world.now - promotion.members[primaryIndex].answeredAt <= options.suspectAfter;
+    if (!ownerHeard && !answersHere)
+        promotion.seenSince = TimePoint{0};
+    else if (promotion.seenSince == TimePoint{0})
+        promotion.seenSince = world.now;
     if (!suspect) {
         promotion.suspectSince = TimePoint{0};
         promotion.cutOffSince = TimePoint{0};
@@ -450,7 +473,6 @@
 
     // Short-lived control connections: to the whole group while the primary is suspect, else to servers that must be
     // told something.
-    const std::size_t primaryIndex = known ? memberIndex(row, row.primary) : row.backends.size();
     for (std::size_t index = 0; index < promotion.members.size(); ++index) {
         PromotionMember &member = promotion.members[index];
         if (member.followWanted && known && member.open && member.serial == 0) {
@@ -501,7 +523,7 @@
         return;
 
     // A promotion that ended between fence and announcement.
-    if (promotion.fenceLeftSince != TimePoint{0} && world.now - promotion.fenceLeftSince > rivalPatience) {
+    if (promotion.fenceLeftSince != TimePoint{0} && world.now - promotion.fenceLeftSince > patience(world)) {
         this->start(world, database, "a majority refuses the known term", false, actions);
         return;
     }
@@ -517,7 +539,7 @@
     const bool answers = answeredAt != TimePoint{0} && world.now - answeredAt <= options.suspectAfter;
     const bool seen = ownerHeard || answers;
     const bool probed = world.now - promotion.suspectSince >= probeInterval;
-    const TimePoint lastSeen = std::max({primary->currentAsOf, ownerHeardAt, answeredAt});
+    const TimePoint lastSeen = std::max({primary->currentAsOf, promotion.seenSince, ownerHeardAt, answeredAt});
     const bool unheard = refused || (probed && world.now - lastSeen > options.suspectAfter);
     const bool held = world.now - row.lastPromotion < options.promotionHoldOff;
     if (!seen && unheard && silent >= silentNeeded(row) && freshReplicas >= majority(row) && (refused || !held)) {
@@ -530,12 +552,13 @@
         return;
 
     // The primary is cut off: it answers, and the group confirms nothing.
+    // The time before it was first seen says nothing.
     if (!seen || unconfirmedFor <= options.cutOffAfter / 3) {
         promotion.cutOffSince = TimePoint{0};
         return;
     }
-    if (promotion.cutOffSince == TimePoint{0})
-        promotion.cutOffSince = std::max({primary->currentAsOf, promotion.coordinatesSince, row.lastPromotion});
+    promotion.cutOffSince =
+        std::max({primary->currentAsOf, promotion.seenSince, promotion.coordinatesSince, row.lastPromotion});
     const bool unconfirmed = !atPrimary.open || atPrimary.unconfirmedAt != TimePoint{0};
     if (world.now - promotion.cutOffSince > options.cutOffAfter && unconfirmed && freshReplicas >= majority(row)
         && !held)
@@ -599,7 +622,10 @@
     DatabaseRow &row = world.at(database);
     PromotionState &promotion = row.promotion;
     const BackendRow &primary = world.at(row.primary);
-    if (!primary.leaving && !promotion.refencingWanted)
+    // A server that refuses the known term may belong to a promotion that is under way.
+    const bool refused =
+        promotion.refusedTerm > row.history.lastTerm() && world.now - promotion.refusedSince > 2 * patience(world);
+    if (!primary.leaving && !refused)
         return false;
     if (row.backends.size() < 2 || world.now - row.lastPromotion < options.promotionHoldOff)
         return false;
@@ -627,7 +653,6 @@
 
     promotion.planned = true;
     promotion.excludePrimary = false;
-    promotion.refencingWanted = false;
     promotion.candidate = candidate;
     promotion.step = PromotionStep::CatchingUp;
     promotion.stepStarted = world.now;
@@ -766,7 +791,7 @@
             promotion.rivalTerm = record->term;
             promotion.rivalSince = world.now;
         }
-        if (rival && world.now - promotion.rivalSince < rivalPatience) {
+        if (rival && world.now - promotion.rivalSince < patience(world)) {
             if (promotion.planned)
                 this->pauseWrites(world, database, false, actions);
             promotion.step = PromotionStep::BackingOff;
@@ -999,7 +1024,6 @@
     promotion.suspectSince = TimePoint{0};
     promotion.cutOffSince = TimePoint{0};
     promotion.fenceLeftSince = TimePoint{0};
-    promotion.refencingWanted = false;
     promotion.leaseTaken = false;
     promotion.leaseNeverHeld = false;
     world.counters.add("jujubekeel_promotions_finished_total");
--- a/src/core/databaserow.h
+++ b/src/core/databaserow.h
@@ -65,10 +65,12 @@
     TimePoint suspectSince{0}; ///< primary without status since; 0: not suspect
     TimePoint cutOffSince{0};  ///< primary without acknowledgement by a replica since; 0: not cut off
     std::uint32_t failures = 0;
-    bool excludePrimary = false;   ///< the replaced primary can't be chosen and doesn't count for the majority
-    bool refencingWanted = false;  ///< a server refuses the known term; a newer one brings it back into the group
-    bool coordinates = false;      ///< this instance is the coordinator
-    TimePoint coordinatesSince{0}; ///< start of that
+    bool excludePrimary = false; ///< the replaced primary can't be chosen and doesn't count for the majority
+    TimePoint seenSince{0};      ///< since when the primary has been heard through its owner or directly; 0: it is not
+    std::uint64_t refusedTerm = 0;        ///< term that a server of the group was found fenced at, above the known one
+    TimePoint refusedSince{0};            ///< when that was found
+    bool coordinates = false;             ///< this instance is the coordinator
+    TimePoint coordinatesSince{0};        ///< start of that
     std::vector<PromotionMember> members; ///< same order as DatabaseRow::backends; empty until first needed
     bool claimWriting = false;            ///< the platform call under way is the conditional update
     TimePoint claimSentAt{0};             ///< of the platform call under way
--- a/tests/authority/promotionsystemtest.cpp
+++ b/tests/authority/promotionsystemtest.cpp
@@ -96,6 +96,27 @@
     EXPECT_TRUE(fleet.runUntil(seconds(4), [&] { return replicatesFrom(fleet, 0, "b" + std::to_string(primary), 2); }));
 }
 
+// Guards against taking the time in which nobody heard of the primary for time in which it confirmed nothing: the whole
+// group was away, comes back, and needs no new primary.
+TEST(PromotionSystem, ReturnOfTheWholeGroupNeedsNoPromotion)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.kill(1);
+    fleet.kill(2);
+    for (const char *instance : {"i0", "i1", "i2"})
+        fleet.cut(instance, "b0");
+    fleet.run(seconds(10));
+    fleet.heal();
+    // The coordinator hears of the primary through the first report of its new owner, which tells the old age.
+    fleet.cut("i" + std::to_string(fleet.coordinator()), "b0");
+    fleet.restart(1);
+    fleet.restart(2);
+    ASSERT_TRUE(fleet.runUntil(seconds(3), [&] { return fleet.allOwned(); }));
+    fleet.run(seconds(6));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 0U);
+}
+
 // Guards against an old primary that is reachable from its own failure domain only: its proxies must neither promote nor
 // vouch for it, and the other side must go on.
 TEST(PromotionSystem, IsolatedFailureDomainNeitherPromotesNorConfirms)
