--- a/src/programs/jujubekeel-bench/benchtable.h
+++ b/src/programs/jujubekeel-bench/benchtable.h
@@ -19,7 +19,8 @@
     Duration gapTarget{0};   ///< worst gap; 0: none
     Duration medianTarget{0};
     bool hasReplicaTarget = false;
-    double offered = 0; ///< capacity cases: requests per second offered; 0: no goodput is shown
+    std::uint32_t randomFaults = 0; ///< number of faults drawn from the seed; 0: the faults of the options
+    double offered = 0;             ///< capacity cases: requests per second offered; 0: no goodput is shown
 };
 
 /// Runs cases and prints them as rows of one table, then the targets of the design page with the result beside each.
--- a/src/programs/jujubekeel-bench/main.cpp
+++ b/src/programs/jujubekeel-bench/main.cpp
@@ -29,7 +29,7 @@
   --seed=NUMBER    First seed [default: 1].
   --seeds=COUNT    Number of seeds for each case [default: 5].
   --user=NAME      association, hjolasmidja or all [default: all].
-  --scenario=NAME  healthy, faults, failover, authority, primary-only, capacity or all [default: all].
+  --scenario=NAME  healthy, faults, failover, authority, primary-only, capacity, random or all [default: all].
   --load=SECONDS   Length of a traced load [default: 9].
   -h --help        Show this text.
 )";
@@ -98,6 +98,16 @@
             }
         }
     }
+    if (scenario == "random") {
+        // Searches for seeds that break a guarantee; not part of the table in docs/measurements.md.
+        for (const std::uint32_t count : {1U, 2U, 3U}) {
+            BenchCase entry{
+                .name = std::to_string(count) + " random faults", .options = {.user = user}, .hasGap = true};
+            entry.options.load = std::chrono::seconds(10);
+            entry.randomFaults = count;
+            cases.push_back(std::move(entry));
+        }
+    }
     if (wanted("primary-only")) {
         BenchCase entry{.name = "reads at the primary, fixed timeout 1 s", .options = {.user = user}};
         entry.options.primaryOnly = true;
--- a/src/virtualfleet/scenario.cpp
+++ b/src/virtualfleet/scenario.cpp
@@ -285,6 +285,35 @@
     return faultStepNames.at(static_cast<std::size_t>(step));
 }
 
+std::vector<ScenarioFault> drawFaults(std::uint64_t seed, std::size_t count)
+{
+    SeededRandom random(seed * 31 + count);
+    std::vector<ScenarioFault> faults;
+    faults.reserve(count);
+    for (std::size_t number = 0; number < count; ++number) {
+        faults.push_back(ScenarioFault{.fault = faultCases.at(random.below(faultCases.size())),
+                                       .step = faultSteps.at(random.below(faultSteps.size())),
+                                       .after = std::chrono::milliseconds(500 + random.below(4000)),
+                                       .lasts = std::chrono::milliseconds(200 + random.below(6000))});
+    }
+    return faults;
+}
+
+std::string describeFaults(std::span<const ScenarioFault> faults)
+{
+    std::string text;
+    for (const ScenarioFault &fault : faults) {
+        if (!text.empty())
+            text += ", ";
+        text += faultCaseName(fault.fault);
+        text += " ";
+        text += faultStepName(fault.step);
+        text +=
+            " after " + std::to_string(fault.after.count()) + " us for " + std::to_string(fault.lasts.count()) + " us";
+    }
+    return text;
+}
+
 ScenarioResult runScenario(const ScenarioOptions &options)
 {
     UserProfile profile = makeUserProfile(options.user);
