--- a/tests/fakeprograms/fakeplatformprogramtest.cpp
+++ b/tests/fakeprograms/fakeplatformprogramtest.cpp
@@ -11,8 +11,8 @@
 {
 protected:
     FakePlatformProgram()
-        : program("fake-platform", {"--list-lag-ms=0", "--instance=p1"}), address(this->program.waitForAddress()),
-          connection(this->address)
+        : program("fake-platform", {"--list-lag-ms=0", "--instance=p1", "--instance=p0"}),
+          address(this->program.waitForAddress()), connection(this->address)
     {
     }
 
@@ -55,9 +55,10 @@
 // Guards against a list that does not follow the instances.
 TEST_F(FakePlatformProgram, InstancesAreListed)
 {
-    EXPECT_EQ(this->connection.get("/v1/instances").body["instances"].size(), 1U);
+    EXPECT_EQ(this->connection.get("/v1/instances").body["instances"].size(), 2U);
     EXPECT_EQ(this->connection.send("PUT", "/v1/instances/p2", R"({"leaving":true})").status, 200);
-    EXPECT_EQ(this->connection.send("DELETE", "/v1/instances/p1").status, 200);
+    for (const std::string name : {"p0", "p1"})
+        EXPECT_EQ(this->connection.send("DELETE", "/v1/instances/" + name).status, 200);
     const nlohmann::json expected = {{{"name", "p2"}, {"leaving", true}}};
     EXPECT_TRUE(waitUntil([&] { return this->connection.get("/v1/instances").body["instances"] == expected; }));
 }
@@ -66,12 +67,12 @@
 TEST_F(FakePlatformProgram, FaultsLeaveCallsWithoutAnAnswer)
 {
     ASSERT_EQ(this->connection.post("/v1/fault", {{"lose_answers", 1}}).status, 200);
-    EXPECT_EQ(HttpConnection(this->address).send("PUT", "/v1/objects/k", "one", "0").status, 0);
+    HttpConnection impatient(this->address);
+    impatient.setTimeout(std::chrono::milliseconds(300));
+    EXPECT_EQ(impatient.send("PUT", "/v1/objects/k", "one", "0").status, 0);
     EXPECT_EQ(this->connection.get("/v1/objects/k").body["version"], 1);
 
     ASSERT_EQ(this->connection.post("/v1/fault", {{"down", true}}).status, 200);
-    HttpConnection impatient(this->address);
-    impatient.setTimeout(std::chrono::milliseconds(300));
     EXPECT_EQ(impatient.get("/v1/objects/k").status, 0);
     ASSERT_EQ(this->connection.post("/v1/fault", {{"down", false}}).status, 200);
     EXPECT_EQ(this->connection.get("/v1/objects/k").status, 200);
