--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 /// Longest answer that is read: four times the largest object of the platform.
-constexpr std::size_t answerLimit = 4U * 1024U * 1024U;
+constexpr std::size_t answerLimit = std::size_t{4} * 1024 * 1024;
 
 std::size_t headerBytes(const Poco::Net::MessageHeader &header)
 {
--- a/src/net/httplistener.cpp
+++ b/src/net/httplistener.cpp
@@ -48,7 +48,7 @@
 };
 
 /// Unread input after which a refused connection is closed without reading on.
-constexpr std::size_t drainLimit = 4U * 1024U * 1024U;
+constexpr std::size_t drainLimit = std::size_t{4} * 1024 * 1024;
 
 std::atomic<std::uint64_t> nextExchange{1};
 
--- a/src/net/logger.cpp
+++ b/src/net/logger.cpp
@@ -4,7 +4,7 @@
 #define ELPP_THREAD_SAFE
 #include <easylogging++.h>
 
-#include <easylogging++.cc>
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include): the package has no compiled library
 
 #include "net/boottime.h"
 #include "net/logger.h"
--- a/src/net/platformclient.cpp
+++ b/src/net/platformclient.cpp
@@ -125,7 +125,7 @@
 
 PlatformAnswer PlatformClient::perform(std::shared_ptr<HttpClient> &client, const Job &job)
 {
-    const PlatformAnswer unavailable{.call = job.call.call, .code = PlatformStatusCode::Unavailable};
+    PlatformAnswer unavailable{.call = job.call.call, .code = PlatformStatusCode::Unavailable};
     std::string error;
     if (client && client->isStale())
         client.reset();
--- a/src/net/trafficcounters.cpp
+++ b/src/net/trafficcounters.cpp
@@ -32,8 +32,11 @@
         const auto &[channel, direction, kind] = key;
         const std::string labels = "{channel=\"" + channel + "\",direction=\""
                                    + (direction == Direction::Sent ? "sent" : "received") + "\",kind=\"" + kind + "\"}";
-        result["jujubekeel_control_messages_total" + labels] = row.messages;
-        result["jujubekeel_control_bytes_total" + labels] = row.bytes;
+        // Traffic that grows with the requests is kept apart from the overhead of control.
+        const bool isRequest = channel == "backend-work" || kind.starts_with("forward-");
+        const std::string prefix = isRequest ? "jujubekeel_request_" : "jujubekeel_control_";
+        result[prefix + "messages_total" + labels] = row.messages;
+        result[prefix + "bytes_total" + labels] = row.bytes;
     }
     return result;
 }
