--- a/src/net/trafficcounters.cpp
+++ b/src/net/trafficcounters.cpp
@@ -5,13 +5,9 @@
 void TrafficCounters::count(std::string_view channel, Direction direction, std::string_view kind, std::size_t bytes)
 {
     const std::scoped_lock lock(this->mutex);
-    const std::tuple<std::string_view, Direction, std::string_view> key(channel, direction, kind);
-    auto found = this->rows.find(key);
-    if (found == this->rows.end()) {
-        found = this->rows.emplace(std::tuple(std::string(channel), direction, std::string(kind)), Row{}).first;
-    }
-    found->second.messages += 1;
-    found->second.bytes += bytes;
+    Row &row = this->rows[std::tuple(std::string(channel), direction, std::string(kind))];
+    row.messages += 1;
+    row.bytes += bytes;
 }
 
 void TrafficCounters::add(std::string_view name, std::uint64_t amount)
@@ -30,8 +26,10 @@
     std::map<std::string, std::uint64_t> result(this->values.begin(), this->values.end());
     for (const auto &[key, row] : this->rows) {
         const auto &[channel, direction, kind] = key;
-        const std::string labels = "{channel=\"" + channel + "\",direction=\""
-                                   + (direction == Direction::Sent ? "sent" : "received") + "\",kind=\"" + kind + "\"}";
+        std::string labels = "{channel=\"";
+        labels.append(channel).append("\",direction=\"");
+        labels.append(direction == Direction::Sent ? "sent" : "received").append("\",kind=\"");
+        labels.append(kind).append("\"}");
         // Traffic that grows with the requests is kept apart from the overhead of control.
         const bool isRequest = channel == "backend-work" || kind.starts_with("forward-");
         const std::string prefix = isRequest ? "jujubekeel_request_" : "jujubekeel_control_";
--- a/src/net/trafficcounters.h
+++ b/src/net/trafficcounters.h
@@ -17,7 +17,8 @@
 public:
     enum class Direction : std::uint8_t { Sent, Received };
 
-    /// \a channel is "peer", "platform", "backend-control" or "backend-work"; \a kind names the message.
+    /// \a channel is "peer", "platform", "backend-control" or "backend-work"; \a kind names the message. Forwarded requests
+    /// and work connections count as request traffic, all else as control traffic.
     void count(std::string_view channel, Direction direction, std::string_view kind, std::size_t bytes);
     /// Adds to a counter of the shell; \a name follows the Prometheus conventions and may carry labels.
     void add(std::string_view name, std::uint64_t amount = 1);
@@ -33,7 +34,7 @@
     };
 
     mutable std::mutex mutex;
-    std::map<std::tuple<std::string, Direction, std::string>, Row, std::less<>> rows;
+    std::map<std::tuple<std::string, Direction, std::string>, Row> rows;
     std::map<std::string, std::uint64_t, std::less<>> values;
 };
 
