Don't wait for transactions of a replaced term before a handover

Ruled out: a limit on the drain of a planned stop; it would abort transactions that can still commit.

Change: an idle transaction of a term below the known one doesn't count as work, because it cannot commit.

Conclusion: a planned stop ends once what can still succeed has ended.

--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -83,13 +83,16 @@
 }
 
 /// Whether a statement or a transaction is under way at the server. Queued work doesn't count: it is refused while the
-/// server is handed over.
+/// server is handed over. Neither does an idle transaction of a term that has been replaced, because it cannot commit.
 bool isBusy(const World &world, BackendId backend)
 {
     const BackendWork &work = world.workAt(backend);
+    const std::uint64_t term = world.at(world.at(backend).database).history.lastTerm();
     bool busy = !work.running.empty() || !work.confirming.empty() || !work.transactionQueue.empty();
-    world.transactions.forEach(
-        [&](TransactionId, const TransactionRow &row) { busy = busy || row.backend == backend; });
+    world.transactions.forEach([&](TransactionId, const TransactionRow &row) {
+        const bool over = row.term != 0 && row.term < term;
+        busy = busy || (row.backend == backend && !over);
+    });
     return busy;
 }
 
--- a/tests/ownership/ownershipsystemtest.cpp
+++ b/tests/ownership/ownershipsystemtest.cpp
@@ -129,6 +129,31 @@
     EXPECT_TRUE(fleet.allOwned());
 }
 
+// Guards against a planned stop that waits for an abandoned transaction on a primary that has been replaced.
+TEST(OwnershipSystem, TransactionOfAReplacedTermDoesNotDelayAStop)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    ASSERT_EQ(fleet.holder(0), 0);
+    fleet.input(0, PeerMessageArrived{
+                       .from = InstanceId{.index = 1, .generation = 0},
+                       .message = RulesUpdate{.version = 1, .text = "no-repeat db pay.* # Keith Joseph: test\n"}});
+    fleet.input(0, CallerRequestArrived{.request = {.ticket = 1,
+                                                    .id = "r1",
+                                                    .database = "db",
+                                                    .caller = "c",
+                                                    .kind = RequestKind::Begin,
+                                                    .timeout = seconds(5)}});
+    fleet.run(seconds(6));
+    ASSERT_EQ(fleet.world(0).transactions.size(), 1U);
+    fleet.cut("b0", "b1");
+    fleet.cut("b0", "b2");
+    ASSERT_TRUE(fleet.runUntil(seconds(6), [&] { return fleet.knownPrimary(0) > 0; }));
+    EXPECT_EQ(fleet.world(0).transactions.size(), 1U);
+    fleet.input(0, StopRequested{});
+    EXPECT_TRUE(fleet.runUntil(seconds(1), [&] { return fleet.holder(0) > 0; }));
+}
+
 // Guards against an owner that reaches its server and no other proxy: nobody could send it requests.
 TEST(OwnershipSystem, UnheardHolderIsPreempted)
 {
