Test slow primaries, refused fences and writes during a planned switchover

Cause: three cases of the fault model had no test of their own.

Ruled out: delaying replication together with the answers; a primary that is only slow keeps its replication stream.

Change: the test fleet can delay a server's answers and keeps the callers' answers; three tests. No source changed.

--- a/tests/authority/promotionsystemtest.cpp
+++ b/tests/authority/promotionsystemtest.cpp
@@ -77,6 +77,41 @@
     EXPECT_TRUE(fleet.allOwned());
 }
 
+// Guards against replacing a primary that is only slow: just below the ping timeout, and so slow that no proxy can keep
+// its control connection while the replicas still hear it.
+TEST(PromotionSystem, SlowPrimaryStays)
+{
+    for (const Duration delay : {milliseconds(550), milliseconds(900)}) {
+        CoreFleet fleet;
+        settle(fleet);
+        fleet.delayAnswers(0, delay);
+        fleet.run(seconds(15));
+        fleet.delayAnswers(0, milliseconds(0));
+        fleet.run(seconds(3));
+        EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 0U) << delay.count();
+        EXPECT_TRUE(fleet.allOwned());
+    }
+}
+
+// Guards against a promotion that goes on although a majority refused its fence, and against giving up for good.
+TEST(PromotionSystem, FenceRefusedByAMajorityIsRetriedWithAHigherTerm)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.kill(0);
+    std::uint64_t term = 100;
+    for (int round = 0; round < 2000; ++round) {
+        term += 10;
+        fleet.request(1, "i9", {.operation = BackendOperation::Fence, .term = term});
+        fleet.request(2, "i9", {.operation = BackendOperation::Fence, .term = term});
+        fleet.run(milliseconds(1));
+    }
+    EXPECT_GE(fleet.counter("jujubekeel_promotions_failed_total"), 1U);
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_finished_total"), 0U);
+    ASSERT_TRUE(fleet.runUntil(seconds(6), [&] { return fleet.knownPrimary(0) > 0; }));
+    EXPECT_GT(fleet.world(0).databases.front().history.lastTerm(), term);
+}
+
 // Guards against a primary that accepts connections and can confirm nothing, because its replicas cannot hear it.
 TEST(PromotionSystem, CutOffPrimaryIsReplacedAndStaysHarmless)
 {
@@ -256,6 +291,40 @@
     EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 1U);
 }
 
+// Guards against errors and long waits of callers during a planned switchover.
+TEST(PromotionSystem, WritesDuringAPlannedSwitchoverAllSucceed)
+{
+    CoreFleet fleet({.instancesPerDomain = 2});
+    const auto setRules = [&](std::uint64_t version, const std::string &text) {
+        for (std::uint32_t index = 0; index < 6; ++index) {
+            fleet.input(index, PeerMessageArrived{.from = InstanceId{.index = (index + 1) % 6, .generation = 0},
+                                                  .message = RulesUpdate{.version = version, .text = text}});
+        }
+    };
+    setRules(1, "no-repeat db pay.* # Keith Joseph: test\n");
+    settle(fleet);
+    for (std::uint64_t ticket = 1; ticket <= 300; ++ticket) {
+        if (ticket == 50)
+            setRules(2, "leaving backend b0 # Anjali Mohammed: rack change\n");
+        const CallerRequest request{.ticket = ticket,
+                                    .id = "r" + std::to_string(ticket),
+                                    .database = "db",
+                                    .caller = "c",
+                                    .operation = ticket % 2 == 0 ? "pay.add" : "note.add",
+                                    .kind = RequestKind::Write,
+                                    .statement = "append k " + std::to_string(ticket),
+                                    .timeout = seconds(1)};
+        fleet.input(static_cast<std::uint32_t>(ticket % 6), CallerRequestArrived{.request = request});
+        fleet.run(milliseconds(10));
+    }
+    fleet.run(seconds(1));
+    EXPECT_TRUE(fleet.allKnowPrimary(1) || fleet.allKnowPrimary(2));
+    ASSERT_EQ(fleet.answers().size(), 300U);
+    for (const CallerAnswer &answer : fleet.answers())
+        EXPECT_EQ(answer.code, ResultCode::Ok) << answer.text;
+    EXPECT_EQ(fleet.server(static_cast<std::uint32_t>(fleet.knownPrimary(0))).log().size(), 300U);
+}
+
 // Guards against paused writes that nobody resumes because the coordinator died.
 TEST(PromotionSystem, PauseOfWritesEndsWithoutTheCoordinator)
 {
--- a/tests/support/corefleet.h
+++ b/tests/support/corefleet.h
@@ -119,6 +119,8 @@
         }
     }
     void restart(std::uint32_t server) { this->servers[server]->running = true; }
+    /// Delays all later answers of a server to proxies; its replication stays as fast as before.
+    void delayAnswers(std::uint32_t server, Duration delay) { this->servers[server]->answerDelay = delay; }
     void pause(std::uint32_t instance) { this->proxies[instance]->paused = true; }
     void resume(std::uint32_t instance) { this->proxies[instance]->paused = false; }
     /// Ends an instance; its connections close.
@@ -153,6 +155,7 @@
     {
         return static_cast<std::size_t>(std::ranges::count(this->events, event));
     }
+    [[nodiscard]] const std::vector<CallerAnswer> &answers() const { return this->callerAnswers; }
     [[nodiscard]] std::uint64_t counter(const std::string &name) const
     {
         std::uint64_t sum = 0;
@@ -202,6 +205,7 @@
         explicit Server(FakeBackend newBackend) : backend(std::move(newBackend)) {}
         FakeBackend backend;
         bool running = true;
+        Duration answerDelay{0};
     };
     struct Proxy
     {
@@ -217,6 +221,12 @@
         std::uint32_t server = 0;
         ConnectionId connection;
     };
+    struct DelayedAnswer
+    {
+        TimePoint due{0};
+        std::uint32_t instance = 0;
+        BackendAnswered answered;
+    };
     struct InFlight
     {
         TimePoint due{0};
@@ -255,6 +265,12 @@
                 this->servers[index]->backend.advance(this->time);
             this->collect(index);
         }
+        std::erase_if(this->delayedAnswers, [&](const DelayedAnswer &delayed) {
+            if (delayed.due > this->time)
+                return false;
+            this->toProxy(delayed.instance, delayed.answered);
+            return true;
+        });
         this->fakePlatform.advance(this->time);
         for (const FakePlatformOutput &output : this->fakePlatform.takeOutputs()) {
             if (!this->isCut("platform", this->layout.instances[output.client].name))
@@ -283,6 +299,8 @@
     {
         if (const auto *line = std::get_if<WriteLog>(&action))
             this->events.push_back(line->event);
+        else if (auto *answer = std::get_if<AnswerCaller>(&action))
+            this->callerAnswers.push_back(std::move(answer->answer));
         else
             this->inFlight.push_back({.due = this->time, .instance = instance, .action = std::move(action)});
     }
@@ -344,9 +362,12 @@
             if (const auto *answer = std::get_if<FakeBackendAnswer>(&output)) {
                 const auto found = this->sessions.find(answer->session);
                 if (found != this->sessions.end()
-                    && !this->isCut(name, this->layout.instances[found->second.instance].name))
-                    this->toProxy(found->second.instance,
-                                  BackendAnswered{.connection = found->second.connection, .answer = answer->answer});
+                    && !this->isCut(name, this->layout.instances[found->second.instance].name)) {
+                    this->delayedAnswers.push_back(
+                        {.due = this->time + this->servers[index]->answerDelay,
+                         .instance = found->second.instance,
+                         .answered = {.connection = found->second.connection, .answer = answer->answer}});
+                }
             } else if (const auto *closed = std::get_if<FakeBackendClosed>(&output)) {
                 const auto found = this->sessions.find(closed->session);
                 if (found == this->sessions.end())
@@ -370,6 +391,8 @@
     std::vector<InFlight> inFlight;
     std::set<std::pair<std::string, std::string>> cuts;
     std::vector<std::string> events;
+    std::vector<CallerAnswer> callerAnswers;
+    std::deque<DelayedAnswer> delayedAnswers;
     std::uint64_t nextSession = 1;
     TimePoint time{0};
 };
