Measure write authority when a cut-off primary then fails

Cause: with one fault the plain lease loses nothing, because the cut-off primary returns with its log; the comparison hid the difference between the policies. Ruled out: judging the policies by the failover gap alone. Change: two faults in the benchmark, and a test that the plain lease loses writes and confirmation does not. Conclusion: group confirmation stays the chosen policy.

--- a/src/programs/jujubekeel-bench/main.cpp
+++ b/src/programs/jujubekeel-bench/main.cpp
@@ -96,6 +96,13 @@
                 entry.medianTarget = Duration{0};
                 cases.push_back(std::move(entry));
             }
+            // The cut-off primary then fails for good, so that only what the group holds survives.
+            BenchCase entry = gapCase(user, FaultCase::PrimaryCutOff, name + ", PrimaryCutOff then PrimaryKilled");
+            entry.options.proxy.authority.policy = policy;
+            entry.options.faults.push_back(
+                {.fault = FaultCase::PrimaryKilled, .after = std::chrono::seconds(4), .lasts = lastingFault});
+            entry.gapTarget = Duration{0};
+            cases.push_back(std::move(entry));
         }
     }
     if (scenario == "random") {
--- a/tests/virtualfleet/scenariotest.cpp
+++ b/tests/virtualfleet/scenariotest.cpp
@@ -143,7 +143,23 @@
                                           testing::ValuesIn(allFaultCases().begin(), allFaultCases().end())),
                          pairTestName);
 
-// Write authority: the chosen policy keeps P2 where a primary is cut off; the others are compared by the benchmark.
+// Write authority.
+
+// Guards against a choice of policy, or a check, that lets acknowledged writes disappear: a primary that is cut off keeps
+// writing under a plain lease and then fails with what only it holds. The confirmed writes survive the same faults.
+TEST(WriteAuthority, ConfirmationKeepsWhatAPlainLeaseLoses)
+{
+    ScenarioOptions options{.user = FleetUser::Association, .seed = 1, .onlyWrites = true};
+    options.faults = {
+        {.fault = FaultCase::PrimaryCutOff, .lasts = std::chrono::seconds(60)},
+        {.fault = FaultCase::PrimaryKilled, .after = std::chrono::seconds(4), .lasts = std::chrono::seconds(60)}};
+    options.proxy.authority.policy = AuthorityPolicy::PlatformLease;
+    EXPECT_GT(runScenario(options).writes.lost, 0U);
+    options.proxy.authority.policy = AuthorityPolicy::GroupConfirmation;
+    const ScenarioResult confirmed = runScenario(options);
+    EXPECT_TRUE(confirmed.violations.empty()) << describeViolations(confirmed.violations);
+    expectServed(confirmed);
+}
 
 // Guards against a failover gap beyond the targets: under 3 s for a killed primary, under 10 s for one that is cut off.
 TEST(FailoverGap, StaysUnderTheTargets)
