--- a/src/authority/promotionsystem.cpp
+++ b/src/authority/promotionsystem.cpp
@@ -56,6 +56,22 @@
     return row.backends.size() - row.backends.size() / 2;
 }
 
+/// How long a promotion of another instance is left alone; under a lease policy it includes the wait for the lease.
+Duration patience(const World &world)
+{
+    const AuthorityOptions &options = world.options.authority;
+    return usesLease(options.policy) ? rivalPatience + 3 * options.leaseDuration / 2 : rivalPatience;
+}
+
+/// Remembers that a server accepts newer terms only than the known one.
+void noteRefusedTerm(const World &world, DatabaseRow &row, const ServerStatus &status)
+{
+    if (status.fencedTerm <= row.history.lastTerm() || row.promotion.refusedTerm >= status.fencedTerm)
+        return;
+    row.promotion.refusedTerm = status.fencedTerm;
+    row.promotion.refusedSince = world.now;
+}
+
 bool isActive(PromotionStep step)
 {
     return step != PromotionStep::Idle && step != PromotionStep::BackingOff;
@@ -93,11 +109,12 @@
 /// Whether something that writes runs at a server: a statement, a commit, or an open transaction.
 bool isWriting(const World &world, BackendId backend)
 {
-    bool writing = false;
-    world.executions.forEach([&](ExecutionId, const ExecutionRow &row) {
-        const bool writes = row.forward.request.kind != RequestKind::Read || !row.forward.request.transaction.empty();
-        writing = writing || (row.backend == backend && row.step != ExecutionStep::Queued && writes);
-    });
+    const auto writes = [&](ExecutionId id) {
+        const CallerRequest &request = world.executions.at(id).forward.request;
+        return request.kind != RequestKind::Read || !request.transaction.empty();
+    };
+    const BackendWork &work = world.workAt(backend);
+    bool writing = std::ranges::any_of(work.running, writes) || std::ranges::any_of(work.confirming, writes);
     world.transactions.forEach(
         [&](TransactionId, const TransactionRow &row) { writing = writing || row.backend == backend; });
     return writing;
@@ -265,7 +282,7 @@
         if (ok && answer.status && answer.status->role == BackendRole::Primary) {
             member.unconfirmedAt = TimePoint{0};
             this->monitor.observeConfirmed(world, backend, answer.status->received, member.sentAt);
-        } else if (answer.code == BackendStatusCode::BarrierTimeout) {
+        } else {
             member.unconfirmedAt = world.now;
         }
         break;
@@ -289,8 +306,8 @@
         member.followWanted = false;
         logChange(world, database, backend, member.requestTerm, ok ? LogLevel::Info : LogLevel::Warning,
                   ok ? "server-follows" : "server-refused-to-follow", answer.text, actions);
-        if (answer.status && answer.status->fencedTerm > row.history.lastTerm())
-            promotion.refencingWanted = true;
+        if (answer.status)
+            noteRefusedTerm(world, row, *answer.status);
         break;
     default:
         break;
@@ -299,12 +316,12 @@
     // A server that was reported under an older term, or that follows another primary.
     if (member.inspect && answer.status) {
         member.inspect = false;
-        const bool older = answer.status->history.lastTerm() < row.history.lastTerm();
+        const bool older =
+            answer.status->role == BackendRole::Primary || answer.status->fencedTerm < row.history.lastTerm();
         const bool elsewhere = answer.status->role == BackendRole::Replica && row.primary.isValid()
                                && answer.status->primary != world.layout.at(row.primary).name;
         member.followWanted = backend != row.primary && (older || elsewhere);
-        if (answer.status->fencedTerm > row.history.lastTerm())
-            promotion.refencingWanted = true;
+        noteRefusedTerm(world, row, *answer.status);
     }
 }
 
@@ -377,9 +394,12 @@
         this->tickCatchingUp(world, database, actions);
         break;
     case PromotionStep::Claiming:
-        // Without the platform the fence alone decides: a server accepts a term from one promoter only.
+        // Without the platform the fence alone decides: a server accepts a term from one promoter only. Before that an
+        // unanswered update is looked up, because it may have taken effect.
         if (inStep > world.options.authority.claimTimeout)
             this->beginFence(world, database, highestTerm(row) + 1, actions);
+        else if (promotion.claimWriting && world.now - promotion.claimSentAt > world.options.authority.claimTimeout / 4)
+            this->readClaim(world, database, actions);
         break;
     case PromotionStep::Fencing:
         this->tickFencing(world, database, actions);
@@ -409,7 +429,8 @@
     promotion.suspectSince = TimePoint{0};
     promotion.cutOffSince = TimePoint{0};
     promotion.fenceLeftSince = TimePoint{0};
-    promotion.refencingWanted = false;
+    promotion.refusedTerm = 0;
+    promotion.seenSince = TimePoint{0};
     promotion.failures = 0;
     promotion.retryDelay = Duration{0};
 }
@@ -431,6 +452,13 @@
     const Duration unconfirmedFor = known ? world.now - primary->currentAsOf : Duration{0};
     const bool suspect = known ? !ownerHeard || (replicated && unconfirmedFor > options.cutOffAfter / 3)
                                : world.now - promotion.coordinatesSince > options.suspectAfter;
+    const std::size_t primaryIndex = known ? memberIndex(row, row.primary) : row.backends.size();
+    const bool answersHere = known && promotion.members[primaryIndex].answeredAt != TimePoint{0}
+                             && world.now - promotion.members[primaryIndex].answeredAt <= options.suspectAfter;
+    if (!ownerHeard && !answersHere)
+        promotion.seenSince = TimePoint{0};
+    else if (promotion.seenSince == TimePoint{0})
+        promotion.seenSince = world.now;
     if (!suspect) {
         promotion.suspectSince = TimePoint{0};
         promotion.cutOffSince = TimePoint{0};
@@ -445,7 +473,6 @@
 
     // Short-lived control connections: to the whole group while the primary is suspect, else to servers that must be
     // told something.
-    const std::size_t primaryIndex = known ? memberIndex(row, row.primary) : row.backends.size();
     for (std::size_t index = 0; index < promotion.members.size(); ++index) {
         PromotionMember &member = promotion.members[index];
         if (member.followWanted && known && member.open && member.serial == 0) {
@@ -496,7 +523,7 @@
         return;
 
     // A promotion that ended between fence and announcement.
-    if (promotion.fenceLeftSince != TimePoint{0} && world.now - promotion.fenceLeftSince > rivalPatience) {
+    if (promotion.fenceLeftSince != TimePoint{0} && world.now - promotion.fenceLeftSince > patience(world)) {
         this->start(world, database, "a majority refuses the known term", false, actions);
         return;
     }
@@ -512,7 +539,7 @@
     const bool answers = answeredAt != TimePoint{0} && world.now - answeredAt <= options.suspectAfter;
     const bool seen = ownerHeard || answers;
     const bool probed = world.now - promotion.suspectSince >= probeInterval;
-    const TimePoint lastSeen = std::max({primary->currentAsOf, ownerHeardAt, answeredAt});
+    const TimePoint lastSeen = std::max({primary->currentAsOf, promotion.seenSince, ownerHeardAt, answeredAt});
     const bool unheard = refused || (probed && world.now - lastSeen > options.suspectAfter);
     const bool held = world.now - row.lastPromotion < options.promotionHoldOff;
     if (!seen && unheard && silent >= silentNeeded(row) && freshReplicas >= majority(row) && (refused || !held)) {
@@ -520,13 +547,18 @@
         return;
     }
 
+    // Under a lease alone the primary acknowledges without its replicas, so it is not replaced while it answers.
+    if (!usesConfirmation(options.policy))
+        return;
+
     // The primary is cut off: it answers, and the group confirms nothing.
+    // The time before it was first seen says nothing.
     if (!seen || unconfirmedFor <= options.cutOffAfter / 3) {
         promotion.cutOffSince = TimePoint{0};
         return;
     }
-    if (promotion.cutOffSince == TimePoint{0})
-        promotion.cutOffSince = std::max({primary->currentAsOf, promotion.coordinatesSince, row.lastPromotion});
+    promotion.cutOffSince =
+        std::max({primary->currentAsOf, promotion.seenSince, promotion.coordinatesSince, row.lastPromotion});
     const bool unconfirmed = !atPrimary.open || atPrimary.unconfirmedAt != TimePoint{0};
     if (world.now - promotion.cutOffSince > options.cutOffAfter && unconfirmed && freshReplicas >= majority(row)
         && !held)
@@ -590,7 +622,10 @@
     DatabaseRow &row = world.at(database);
     PromotionState &promotion = row.promotion;
     const BackendRow &primary = world.at(row.primary);
-    if (!primary.leaving && !promotion.refencingWanted)
+    // A server that refuses the known term may belong to a promotion that is under way.
+    const bool refused =
+        promotion.refusedTerm > row.history.lastTerm() && world.now - promotion.refusedSince > 2 * patience(world);
+    if (!primary.leaving && !refused)
         return false;
     if (row.backends.size() < 2 || world.now - row.lastPromotion < options.promotionHoldOff)
         return false;
@@ -618,7 +653,6 @@
 
     promotion.planned = true;
     promotion.excludePrimary = false;
-    promotion.refencingWanted = false;
     promotion.candidate = candidate;
     promotion.step = PromotionStep::CatchingUp;
     promotion.stepStarted = world.now;
@@ -680,7 +714,15 @@
     PromotionState &promotion = world.at(database).promotion;
     promotion.step = PromotionStep::Claiming;
     promotion.stepStarted = world.now;
+    promotion.claimSequence = 0;
+    this->readClaim(world, database, actions);
+}
+
+void PromotionSystem::readClaim(World &world, DatabaseId database, Actions &actions)
+{
+    PromotionState &promotion = world.at(database).promotion;
     promotion.claimWriting = false;
+    promotion.claimSentAt = world.now;
     promotion.platformCall = world.takeNumber();
     actions.emplace_back(
         CallPlatform{.call = {.call = promotion.platformCall,
@@ -724,11 +766,8 @@
     if (answer.code == PlatformStatusCode::Unavailable || answer.code == PlatformStatusCode::Unchanged) {
         // An update without answer may have taken effect: the object is read again. An unanswered read is left to
         // claimTimeout.
-        if (wrote) {
-            const TimePoint started = promotion.stepStarted;
-            this->startClaim(world, database, actions);
-            promotion.stepStarted = started;
-        }
+        if (wrote)
+            this->readClaim(world, database, actions);
         return;
     }
 
@@ -740,7 +779,7 @@
         promotion.claimedTerm = std::max(promotion.claimedTerm, record->term);
         const bool own = record->promoter == world.selfName() && record->incarnation == world.incarnation;
         if (own && promotion.claimSequence != 0 && record->sequence == promotion.claimSequence
-            && record->term == promotion.term && record->term > row.history.lastTerm() && wrote) {
+            && record->term == promotion.term && record->term > row.history.lastTerm()) {
             this->beginFence(world, database, promotion.term, actions);
             return;
         }
@@ -752,7 +791,7 @@
             promotion.rivalTerm = record->term;
             promotion.rivalSince = world.now;
         }
-        if (rival && world.now - promotion.rivalSince < rivalPatience) {
+        if (rival && world.now - promotion.rivalSince < patience(world)) {
             if (promotion.planned)
                 this->pauseWrites(world, database, false, actions);
             promotion.step = PromotionStep::BackingOff;
@@ -765,6 +804,7 @@
 
     promotion.term = highestTerm(row) + 1;
     promotion.claimWriting = true;
+    promotion.claimSentAt = world.now;
     promotion.claimVersion = answer.version;
     promotion.platformCall = world.takeNumber();
     promotion.claimSequence = promotion.platformCall;
@@ -927,6 +967,10 @@
     const AuthorityOptions &options = world.options.authority;
     PromotionState &promotion = world.at(database).promotion;
 
+    // Servers drop silent control connections, and the wait is longer than they allow.
+    for (std::size_t index = 0; index < promotion.members.size(); ++index)
+        this->probe(world, database, index, false, world.options.ownership.pingInterval, actions);
+
     if (promotion.leaseTaken) {
         // A twentieth more covers clocks of different speed.
         const TimePoint over = promotion.leaseTakenAt + options.leaseDuration + options.leaseDuration / 20;
@@ -948,10 +992,12 @@
     PromotionState &promotion = row.promotion;
     const std::size_t index = memberIndex(row, promotion.candidate);
     const PromotionMember &member = promotion.members[index];
-    if (!member.open || member.serial != 0) {
+    if (!member.open) {
         this->fail(world, database, "connection to the chosen server lost", actions);
         return;
     }
+    if (member.serial != 0)
+        return; // a status request is under way; the next tick tries again
     promotion.step = PromotionStep::Promoting;
     promotion.stepStarted = world.now;
     this->send(world, database, index, {.operation = BackendOperation::Promote, .term = promotion.term},
@@ -978,7 +1024,6 @@
     promotion.suspectSince = TimePoint{0};
     promotion.cutOffSince = TimePoint{0};
     promotion.fenceLeftSince = TimePoint{0};
-    promotion.refencingWanted = false;
     promotion.leaseTaken = false;
     promotion.leaseNeverHeld = false;
     world.counters.add("jujubekeel_promotions_finished_total");
--- a/src/core/backendrow.h
+++ b/src/core/backendrow.h
@@ -28,7 +28,8 @@
     TimePoint notBefore{0}; ///< next attempt
     Duration retryDelay{0};
     TimePoint orphanSince{0};      ///< since when no live owner has been known; 0: there is one
-    TimePoint betterSince{0};      ///< since when a better candidate has been live; 0: there is none
+    InstanceId better;             ///< best-ranked live candidate; invalid: this instance
+    TimePoint betterSince{0};      ///< since when it has been that candidate
     TimePoint nextRanking{0};      ///< when the candidates are ranked again
     TimePoint ownedSince{0};       ///< start of the present ownership
     TimePoint closingSince{0};     ///< start of Closing
@@ -90,6 +91,10 @@
     TermHistory history;
     TimePoint statusAt{0};         ///< own clock; when applied and received were true at the latest
     std::uint32_t queueLength = 0; ///< at the owner
+    /// Replica: reads are tried here on the chance that it has caught up with the session, from this time on. Moved on,
+    /// with a doubling pause, by each read that found it behind. Written by RequestSystem.
+    TimePoint tryAheadFrom{0};
+    Duration tryAheadPause{0};
     /// Primary only: `current` was the end of the confirmed log at own time `currentAsOf` or later.
     LogPosition current;
     TimePoint currentAsOf{0};
