--- a/tests/net/peersockettest.cpp
+++ b/tests/net/peersockettest.cpp
@@ -58,12 +58,13 @@
     }
     [[nodiscard]] bool isConnected() const { return this->socket->states().front().connected; }
 
-    std::unique_ptr<PeerSocket> socket;
-
 private:
     mutable std::mutex mutex;
     std::vector<std::pair<std::string, std::string>> messages;
     std::map<std::string, int> events;
+
+public:
+    std::unique_ptr<PeerSocket> socket; ///< destroyed first: its callbacks use the members above
 };
 
 constexpr const char *anyPort = "127.0.0.1:0";
