--- a/tests/net/callerservertest.cpp
+++ b/tests/net/callerservertest.cpp
@@ -197,6 +197,7 @@
 {
     this->startServer({.threads = 1});
     std::vector<std::thread> callers;
+    callers.reserve(8);
     for (int index = 0; index < 8; ++index) {
         callers.emplace_back([this] {
             const auto client = this->connect();
@@ -204,6 +205,7 @@
         });
     }
     std::vector<std::uint64_t> tickets;
+    tickets.reserve(8);
     for (int index = 0; index < 8; ++index)
         tickets.push_back(this->inputs.nextOf<CallerRequestArrived>().request.ticket);
     const auto client = this->connect();
--- a/tests/net/proxyshelltest.cpp
+++ b/tests/net/proxyshelltest.cpp
@@ -56,7 +56,7 @@
                                                    [this] { this->stopped = true; });
         this->shell->start();
     }
-    static HttpClientReply exchange(const std::string &address, HttpClientCall call)
+    static HttpClientReply exchange(const std::string &address, const HttpClientCall &call)
     {
         HttpClient client(address, std::chrono::seconds(5));
         std::string error;
