--- a/src/core/proxyoptions.h
+++ b/src/core/proxyoptions.h
@@ -85,7 +85,7 @@
 struct DrainOptions
 {
     Duration stopGrace = std::chrono::seconds(20);        ///< longest wait for requests in flight at a stop
-    Duration leavingGrace = std::chrono::seconds(2); ///< a leaving primary takes new work at most this long
+    Duration leavingGrace = std::chrono::seconds(2);      ///< a leaving primary takes new work at most this long
     Duration plannedChangeWait = std::chrono::seconds(3); ///< longest pause of writes in a planned change of primary
 };
 
