Rank candidates incrementally and keep control within a large fleet's budget

Each tick ranked all instances for all backend servers, walked all servers, and worked out the interest set for each peer. Every instance competed for every lock, and heartbeats carried all reports. Ruled out: a slower tick; it would lengthen every failover. Ranking on demand with a cache by name; a change of one instance would rank everything anew. Change: CandidateTable keeps the six best instances for each server and the coordinator of each database and updates only rows that a change touches; systems walk the servers they hold or may take; the interest set is chosen every heartbeat interval and holds the other candidates; above 16 instances heartbeats go every 500 ms and report only what the peer may take over or uses. A proxy that has not heard of an owner asks the best candidate.

--- a/src/core/proxyoptions.h
+++ b/src/core/proxyoptions.h
@@ -62,10 +62,13 @@
 struct MembershipOptions
 {
     Duration heartbeatInterval = std::chrono::milliseconds(250);
+    Duration largeFleetInterval =
+        std::chrono::milliseconds(500);                     ///< above fullMeshLimit; at most a third of peerTimeout
     Duration peerTimeout = std::chrono::milliseconds(1500); ///< a peer not heard for this long is suspect
     Duration interestTime = std::chrono::seconds(30);       ///< a peer in use gets heartbeats this much longer
     std::uint32_t fullMeshLimit = 16;                       ///< up to this many instances each sends heartbeats to all
     std::uint32_t ringFanout = 4; ///< above it: next instances of the own failure domain that get heartbeats
+    std::uint32_t candidates = 6; ///< instances that compete for the lock of one backend server
     Duration listInterval = std::chrono::seconds(2); ///< reading of the platform's instance list
 };
 
--- a/src/core/world.h
+++ b/src/core/world.h
@@ -14,6 +14,7 @@
 
 #include "core/table.h"
 #include "core/transactionrow.h"
+#include "membership/candidatetable.h"
 #include "observe/counters.h"
 #include "rules/ruleset.h"
 
@@ -48,6 +49,9 @@
     bool stopping = false;
     TimePoint stopRequestedAt{0};
 
+    CandidateTable candidates;
+    std::vector<BackendId> engaged; ///< servers with an ownership step other than None, and such until the next tick
+
     std::vector<BackendId> barriersWanted; ///< servers with ConfirmationState::barrierWanted, in order of the requests
     bool announceWanted = false;           ///< ownership or a primary changed; send heartbeats at the end of the step
 
--- a/src/drain/drainsystem.cpp
+++ b/src/drain/drainsystem.cpp
@@ -2,6 +2,7 @@
 
 #include "core/world.h"
 
+#include <algorithm>
 #include <string>
 
 namespace Jujubekeel {
@@ -10,11 +11,8 @@
 
 bool holdsOwnership(const World &world)
 {
-    for (const BackendRow &row : world.backends) {
-        if (row.ownership.step != OwnershipStep::None)
-            return true;
-    }
-    return false;
+    return std::ranges::any_of(world.engaged,
+                               [&](BackendId id) { return world.at(id).ownership.step != OwnershipStep::None; });
 }
 
 void markLeavingBackends(World &world, Actions &actions)
--- a/src/membership/membershipsystem.cpp
+++ b/src/membership/membershipsystem.cpp
@@ -6,6 +6,7 @@
 #include "membership/rendezvous.h"
 
 #include <algorithm>
+#include <span>
 #include <vector>
 
 namespace Jujubekeel {
@@ -23,43 +24,74 @@
 }
 
 /// The next instances of the own failure domain in the order of the layout, as a ring.
-bool isRingNeighbour(const World &world, InstanceId peer)
+std::vector<InstanceId> ringNeighbours(const World &world)
 {
     const std::string &domain = world.layout.at(world.self).failureDomain;
     const std::size_t count = world.instances.size();
-    std::uint32_t found = 0;
-    for (std::size_t step = 1; step < count && found < world.options.membership.ringFanout; ++step) {
+    std::vector<InstanceId> neighbours;
+    for (std::size_t step = 1; step < count && neighbours.size() < world.options.membership.ringFanout; ++step) {
         const InstanceId id{.index = static_cast<std::uint32_t>((world.self.index + step) % count), .generation = 0};
-        if (world.layout.at(id).failureDomain != domain)
-            continue;
-        if (id == peer)
-            return true;
-        found += 1;
+        if (world.layout.at(id).failureDomain == domain)
+            neighbours.push_back(id);
+    }
+    return neighbours;
+}
+
+/// Peers that get heartbeats: all in a small fleet; in a large one ring neighbours, peers in use, and the other
+/// candidates of the servers held here, which take over if this instance fails.
+std::vector<InstanceId> interestSet(const World &world)
+{
+    const bool fullMesh = world.instances.size() <= world.options.membership.fullMeshLimit;
+    std::vector<bool> chosen(world.instances.size(), fullMesh);
+    for (std::uint32_t index = 0; !fullMesh && index < world.instances.size(); ++index) {
+        const TimePoint used = world.instances[index].lastUsed;
+        chosen[index] = used > TimePoint{0} && world.now - used <= world.options.membership.interestTime;
     }
-    return false;
+    if (!fullMesh) {
+        for (const InstanceId id : ringNeighbours(world))
+            chosen[id.index] = true;
+        for (const BackendId backend : world.engaged) {
+            for (const InstanceId id : world.candidates.forBackend(backend))
+                chosen[id.index] = true;
+        }
+    }
+
+    std::vector<InstanceId> peers;
+    for (std::uint32_t index = 0; index < chosen.size(); ++index) {
+        if (chosen[index] && index != world.self.index)
+            peers.push_back({.index = index, .generation = 0});
+    }
+    return peers;
 }
 
-bool isOfInterest(const World &world, InstanceId peer)
+bool isFullMesh(const World &world)
 {
-    if (world.instances.size() <= world.options.membership.fullMeshLimit)
-        return true;
-    const InstanceRow &row = world.at(peer);
-    const bool used = row.lastUsed > TimePoint{0} && world.now - row.lastUsed <= world.options.membership.interestTime;
-    return used || isRingNeighbour(world, peer);
+    return world.instances.size() <= world.options.membership.fullMeshLimit;
 }
 
-std::vector<BackendReport> ownedReports(const World &world)
+bool isInUse(const World &world, InstanceId peer)
 {
+    const TimePoint used = world.at(peer).lastUsed;
+    return used > TimePoint{0} && world.now - used <= world.options.membership.interestTime;
+}
+
+/// Reports for a peer. In a large fleet a peer hears of the servers it may take over, and of all if it sends work here.
+std::vector<BackendReport> reportsFor(const World &world, InstanceId peer)
+{
+    const bool all = isFullMesh(world) || isInUse(world, peer);
     std::vector<BackendReport> reports;
-    for (std::uint32_t index = 0; index < world.backends.size(); ++index) {
-        const OwnershipStep step = world.backends[index].ownership.step;
-        if (step == OwnershipStep::Owned || step == OwnershipStep::Closing)
-            reports.push_back(GroupMonitorSystem::makeReport(world, BackendId{.index = index, .generation = 0}));
+    for (const BackendId id : world.engaged) {
+        const OwnershipStep step = world.at(id).ownership.step;
+        if (step != OwnershipStep::Owned && step != OwnershipStep::Closing)
+            continue;
+        const std::span<const InstanceId> candidates = world.candidates.forBackend(id);
+        if (all || std::ranges::find(candidates, peer) != candidates.end())
+            reports.push_back(GroupMonitorSystem::makeReport(world, id));
     }
     return reports;
 }
 
-void sendHeartbeat(World &world, InstanceId peer, const std::vector<BackendReport> &reports, Actions &actions)
+void sendHeartbeat(World &world, InstanceId peer, Actions &actions)
 {
     InstanceRow &row = world.at(peer);
     Heartbeat heartbeat{.incarnation = world.incarnation,
@@ -68,8 +100,9 @@
                         .echoIncarnation = row.incarnation,
                         .rulesVersion = world.rules ? world.rules->version() : 0,
                         .leaving = world.stopping,
-                        .owned = reports};
-    row.nextHeartbeat = world.now + world.options.membership.heartbeatInterval;
+                        .owned = reportsFor(world, peer)};
+    const MembershipOptions &options = world.options.membership;
+    row.nextHeartbeat = world.now + (isFullMesh(world) ? options.heartbeatInterval : options.largeFleetInterval);
     sendToPeer(world, peer, std::move(heartbeat), actions);
     world.counters.add("jujubekeel_heartbeats_sent_total");
 }
@@ -107,7 +140,7 @@
 
     // Answers the first heartbeat of a process at once, so that it soon has an echo.
     if (restarted || row.nextHeartbeat == TimePoint{0})
-        sendHeartbeat(world, from, ownedReports(world), actions);
+        sendHeartbeat(world, from, actions);
 }
 
 void MembershipSystem::handle(World &world, const PlatformAnswer &answer, Actions &)
@@ -153,17 +186,18 @@
     }
 
     // Heartbeats.
+    world.candidates.refresh(world);
+    if (world.now >= this->nextInterest) {
+        this->nextInterest = world.now + options.heartbeatInterval;
+        this->interest = interestSet(world);
+    }
     std::vector<InstanceId> due;
-    for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
-        const InstanceId id{.index = index, .generation = 0};
-        if (id != world.self && world.now >= world.at(id).nextHeartbeat && isOfInterest(world, id))
+    for (const InstanceId id : this->interest) {
+        if (world.now >= world.at(id).nextHeartbeat)
             due.push_back(id);
     }
-    if (!due.empty()) {
-        const std::vector<BackendReport> reports = ownedReports(world);
-        for (const InstanceId id : due)
-            sendHeartbeat(world, id, reports, actions);
-    }
+    for (const InstanceId id : due)
+        sendHeartbeat(world, id, actions);
 
     // The platform's list.
     if (this->listCall != 0 && world.now - this->listCallSent > world.options.rules.callTimeout)
@@ -182,12 +216,8 @@
 
 void MembershipSystem::announce(World &world, Actions &actions)
 {
-    const std::vector<BackendReport> reports = ownedReports(world);
-    for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
-        const InstanceId id{.index = index, .generation = 0};
-        if (id != world.self && isOfInterest(world, id))
-            sendHeartbeat(world, id, reports, actions);
-    }
+    for (const InstanceId id : interestSet(world))
+        sendHeartbeat(world, id, actions);
 }
 
 } // namespace Jujubekeel
--- a/src/membership/membershipsystem.h
+++ b/src/membership/membershipsystem.h
@@ -4,6 +4,9 @@
 #include "core/id.h"
 #include "core/peermessages.h"
 #include "core/platformmessages.h"
+#include "core/time.h"
+
+#include <vector>
 
 namespace Jujubekeel {
 
@@ -25,6 +28,8 @@
     std::uint64_t listCall = 0; ///< reading of the instance list under way; 0: none
     TimePoint listCallSent{0};
     TimePoint nextList{0};
+    std::vector<InstanceId> interest; ///< peers that get heartbeats
+    TimePoint nextInterest{0};        ///< when they are chosen again
 };
 
 } // namespace Jujubekeel
--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -24,14 +24,24 @@
 
 } // namespace
 
-std::uint64_t rendezvousScore(std::string_view key, std::string_view member)
+std::uint64_t rendezvousKey(std::string_view text)
 {
     StateHasher hasher;
-    hasher.add(key);
-    hasher.add(member);
+    hasher.add(text);
     return mix(hasher.value());
 }
 
+std::uint64_t rendezvousScore(std::uint64_t keyHash, std::uint64_t memberHash)
+{
+    // The factor keeps score(a, b) apart from score(b, a).
+    return mix(keyHash ^ (memberHash * 0x9e3779b97f4a7c15ULL));
+}
+
+std::uint64_t rendezvousScore(std::string_view key, std::string_view member)
+{
+    return rendezvousScore(rendezvousKey(key), rendezvousKey(member));
+}
+
 std::vector<InstanceId> rankInstances(const World &world, std::string_view key, std::string_view failureDomain)
 {
     struct Candidate
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -3,13 +3,13 @@
 #include "authority/writeauthoritypolicy.h"
 #include "core/sendtopeer.h"
 #include "core/world.h"
-#include "membership/rendezvous.h"
 #include "observe/logaction.h"
 
 #include <algorithm>
 #include <cassert>
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -60,16 +60,10 @@
     return step == OwnershipStep::Owned || step == OwnershipStep::Closing || step == OwnershipStep::Unlocking;
 }
 
-std::vector<InstanceId> rankedFor(const World &world, BackendId backend)
-{
-    const BackendSettings &settings = world.layout.at(backend);
-    return rankInstances(world, settings.name, settings.failureDomain);
-}
-
 /// Rank of this instance among the candidates; empty if it is none.
 std::optional<std::size_t> ownRank(const World &world, BackendId backend)
 {
-    const std::vector<InstanceId> ranked = rankedFor(world, backend);
+    const std::span<const InstanceId> ranked = world.candidates.forBackend(backend);
     const auto found = std::ranges::find(ranked, world.self);
     if (found == ranked.end())
         return std::nullopt;
@@ -121,6 +115,8 @@
     OwnershipState &state = world.at(backend).ownership;
     assert(state.step == OwnershipStep::None);
     state.step = OwnershipStep::Connecting;
+    if (std::ranges::find(world.engaged, backend) == world.engaged.end())
+        world.engaged.push_back(backend);
     state.preempting = preempt;
     state.serial = 0;
     state.control = world.connections.insert({.backend = backend,
@@ -371,7 +367,8 @@
     state.notBefore = world.now + world.options.ownership.candidateDelay;
     this->monitor.observeOwnership(world, backend, false);
 
-    std::vector<InstanceId> ranked = rankedFor(world, backend);
+    const std::span<const InstanceId> candidates = world.candidates.forBackend(backend);
+    std::vector<InstanceId> ranked(candidates.begin(), candidates.end());
     std::erase(ranked, world.self);
     if (!ranked.empty())
         sendToPeer(world, ranked.front(), Handover{.backend = backend}, actions);
@@ -415,13 +412,22 @@
         this->started = true;
         this->startedAt = world.now;
     }
-    for (std::uint32_t index = 0; index < world.backends.size(); ++index) {
-        const BackendId backend{.index = index, .generation = 0};
+    world.candidates.refresh(world);
+
+    // Servers that this instance holds or is taking, then those it may take.
+    const std::vector<BackendId> engaged = world.engaged;
+    for (const BackendId backend : engaged) {
+        if (world.at(backend).ownership.step != OwnershipStep::None)
+            this->tickOwner(world, backend, actions);
+    }
+    for (const BackendId backend : world.candidates.ownCandidacies()) {
         if (world.at(backend).ownership.step == OwnershipStep::None)
             this->tickCandidate(world, backend, actions);
-        else
-            this->tickOwner(world, backend, actions);
     }
+    std::erase_if(world.engaged, [&](BackendId backend) {
+        return world.at(backend).ownership.step == OwnershipStep::None && world.at(backend).openConnections == 0
+               && world.workAt(backend).isEmpty();
+    });
 }
 
 void OwnershipSystem::tickCandidate(World &world, BackendId backend, Actions &actions)
@@ -513,7 +519,7 @@
         this->startClosing(world, backend, "stopping", actions);
     } else if (state.step == OwnershipStep::Owned && world.now >= state.nextRanking) {
         state.nextRanking = world.now + options.pingInterval;
-        const std::vector<InstanceId> ranked = rankedFor(world, backend);
+        const std::span<const InstanceId> ranked = world.candidates.forBackend(backend);
         const InstanceId best = ranked.empty() ? world.self : ranked.front();
         if (best == world.self) {
             state.better = InstanceId{};
--- a/src/requests/executionsystem.cpp
+++ b/src/requests/executionsystem.cpp
@@ -223,8 +223,7 @@
 
 void ExecutionSystem::advance(World &world, Actions &actions)
 {
-    for (std::uint32_t index = 0; index < world.backends.size(); ++index) {
-        const BackendId id{.index = index, .generation = 0};
+    for (const BackendId id : world.engaged) {
         if (isOwned(world, id)) {
             this->completeConfirmed(world, id, actions);
             this->startQueued(world, id, actions);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -2,6 +2,7 @@
 
 #include "core/world.h"
 
+#include <span>
 #include <tuple>
 
 namespace Jujubekeel {
@@ -56,9 +57,10 @@
         return refuse(ResultCode::NoPrimary, "no primary is known");
     if (Router::refusesNewWork(world, database.primary))
         return refuse(ResultCode::NoPrimary, "the primary is leaving and no other was promoted yet");
-    if (!Router::hasLiveOwner(world, database.primary))
+    const InstanceId owner = Router::ownerOf(world, database.primary, entry.decision.attempts);
+    if (!owner.isValid())
         return refuse(ResultCode::NoOwner, "no live instance holds the connections of the primary");
-    return Route{.found = true, .backend = database.primary, .owner = world.at(database.primary).owner};
+    return Route{.found = true, .backend = database.primary, .owner = owner};
 }
 
 } // namespace
@@ -93,6 +95,19 @@
     return primary;
 }
 
+InstanceId Router::ownerOf(const World &world, BackendId backend, std::uint32_t attempts)
+{
+    if (hasLiveOwner(world, backend))
+        return world.at(backend).owner;
+    if (world.instances.size() <= world.options.membership.fullMeshLimit)
+        return InstanceId{};
+    const std::span<const InstanceId> candidates = world.candidates.forBackend(backend);
+    if (candidates.empty())
+        return InstanceId{};
+    const InstanceId guess = candidates[attempts % candidates.size()];
+    return guess == world.self ? InstanceId{} : guess;
+}
+
 bool Router::hasLiveOwner(const World &world, BackendId backend)
 {
     const BackendRow &row = world.at(backend);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -35,6 +35,9 @@
     /// Write or begin of a transaction: the primary.
     [[nodiscard]] static Route routeWrite(const World &world, const EntryRow &entry);
 
+    /// The instance to send work for a backend server to: its known live owner; in a large fleet, where only some peers
+    /// hear of it, else the best candidate, a later one after each attempt. Invalid: none.
+    [[nodiscard]] static InstanceId ownerOf(const World &world, BackendId backend, std::uint32_t attempts);
     /// True if the backend server's owner is known, live and not about to release it.
     [[nodiscard]] static bool hasLiveOwner(const World &world, BackendId backend);
     /// True if the server takes no new work: it is leaving, and as primary the grace time is over.
--- a/src/rules/ruledistributionsystem.cpp
+++ b/src/rules/ruledistributionsystem.cpp
@@ -98,7 +98,11 @@
         return;
 
     // A proxy without rules reads them itself, also if it is not a watcher.
-    if (world.rules && !isWatcher(world))
+    if (this->rankedVersion != world.candidates.version()) {
+        this->rankedVersion = world.candidates.version();
+        this->watcher = isWatcher(world);
+    }
+    if (world.rules && !this->watcher)
         return;
     this->watchCall = world.takeNumber();
     this->watchCallSent = world.now;
--- a/src/rules/ruledistributionsystem.h
+++ b/src/rules/ruledistributionsystem.h
@@ -29,6 +29,8 @@
     TimePoint watchCallSent{0};
     TimePoint nextWatch{0};
     TimePoint lastQuery{0};
+    std::uint64_t rankedVersion = 0; ///< CandidateTable::version that `watcher` was found for
+    bool watcher = false;
 };
 
 } // namespace Jujubekeel
