Roll back transactions whose Begin was given up; look databases up by hash

Each request compared its database name with every name in the layout. Ruled out: a shorter idle time; callers at work pause longer than that. Change: the entry remembers Begin attempts without answer and rolls back what a late answer opens. A hash table finds the database. Tests of the entry with hand-fed peers: look-up after an unknown outcome, late answers, tokens. Conclusion: an abandoned Begin no longer holds a connection.

--- a/src/core/proxycore.cpp
+++ b/src/core/proxycore.cpp
@@ -21,8 +21,11 @@
     this->state.instances.resize(layout.instances.size());
     this->state.at(this->state.self).live = true;
     this->state.databases.resize(layout.databases.size());
-    for (std::size_t index = 0; index < layout.databases.size(); ++index)
+    for (std::size_t index = 0; index < layout.databases.size(); ++index) {
         this->state.databases[index].backends = layout.databases[index].backends;
+        this->state.databaseByName.emplace(layout.databases[index].name,
+                                           DatabaseId{.index = static_cast<std::uint32_t>(index), .generation = 0});
+    }
     this->state.backends.resize(layout.backends.size());
     this->state.work.resize(layout.backends.size());
     for (std::size_t index = 0; index < layout.backends.size(); ++index)
--- a/src/core/world.h
+++ b/src/core/world.h
@@ -22,6 +22,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace Jujubekeel {
@@ -36,10 +37,11 @@
     std::uint64_t incarnation = 0; ///< given by the shell at the start; larger after each restart
     TimePoint now{0};
 
-    std::vector<InstanceRow> instances; ///< index: InstanceId
-    std::vector<DatabaseRow> databases; ///< index: DatabaseId
-    std::vector<BackendRow> backends;   ///< index: BackendId
-    std::vector<BackendWork> work;      ///< index: BackendId; empty unless this instance owns the server
+    std::unordered_map<std::string, DatabaseId> databaseByName; ///< of the layout; every request looks one up
+    std::vector<InstanceRow> instances;                         ///< index: InstanceId
+    std::vector<DatabaseRow> databases;                         ///< index: DatabaseId
+    std::vector<BackendRow> backends;                           ///< index: BackendId
+    std::vector<BackendWork> work; ///< index: BackendId; empty unless this instance owns the server
     Table<ConnectionId, ConnectionRow> connections;
     Table<RequestId, EntryRow> entries;
     Table<ExecutionId, ExecutionRow> executions;
--- a/src/requests/requestsystem.cpp
+++ b/src/requests/requestsystem.cpp
@@ -21,6 +21,9 @@
 constexpr Duration minTryAheadPause = std::chrono::milliseconds(250);
 constexpr Duration maxTryAheadPause = std::chrono::seconds(4);
 
+/// Begin attempts whose late answers are still recognised; the owner rolls back what is older when it is found unused.
+constexpr std::size_t maxBeginsWithoutAnswer = 1000;
+
 bool changesData(RequestKind kind)
 {
     return kind == RequestKind::Write || kind == RequestKind::Commit;
@@ -59,6 +62,27 @@
     return "request-ok";
 }
 
+/// A transaction whose Begin was given up has no caller. It is rolled back, because it would hold a connection and delay
+/// a handover until it is found unused.
+void rollBackAbandoned(World &world, const std::string &transaction, const std::string &session, Actions &actions)
+{
+    const auto name = TransactionName::parse(transaction);
+    const InstanceId owner = name ? world.layout.findInstance(name->owner) : InstanceId{};
+    const BackendId backend = name ? world.layout.findBackend(name->backend) : BackendId{};
+    if (!owner.isValid() || !backend.isValid())
+        return;
+    CallerRequest request{.id = makeName(world, "r"),
+                          .database = world.layout.at(world.at(backend).database).name,
+                          .session = session,
+                          .kind = RequestKind::Rollback,
+                          .transaction = transaction,
+                          .timeout = world.options.admission.defaultTimeout};
+    world.counters.add("jujubekeel_transactions_abandoned_total");
+    sendToPeer(world, owner,
+               ForwardRequest{.forward = world.takeNumber(), .backend = backend, .request = std::move(request)},
+               actions);
+}
+
 void countOutcome(World &world, const EntryRow &entry, ResultCode code, bool fromReplica)
 {
     const ResultCodeInfo &info = resultCodeInfo(code);
@@ -163,11 +187,12 @@
     entry.spanId = makeSpanId(world);
 
     // Fields.
-    entry.database = world.layout.findDatabase(request.database);
-    if (!entry.database.isValid()) {
+    const auto database = world.databaseByName.find(request.database);
+    if (database == world.databaseByName.end()) {
         reason.set(ResultCode::UnknownDatabase, "database \"" + request.database + "\" is not in the settings");
         return false;
     }
+    entry.database = database->second;
     const bool needsStatement = request.kind == RequestKind::Read || request.kind == RequestKind::Write;
     if (needsStatement && request.statement.empty()) {
         reason.set(ResultCode::BadField, "field \"statement\" is empty; a read or write needs one");
@@ -372,6 +397,11 @@
 
     world.at(route.owner).lastUsed = world.now;
     this->forwards.emplace(entry.forward, id);
+    if (entry.request.kind == RequestKind::Begin) {
+        this->begins.emplace(entry.forward, entry.request.session);
+        if (this->begins.size() > maxBeginsWithoutAnswer)
+            this->begins.erase(this->begins.begin());
+    }
     if (entry.decision.attempts > 1)
         world.counters.add("jujubekeel_attempts_repeated_total");
     sendToPeer(world, route.owner, std::move(forward), actions);
@@ -394,10 +424,16 @@
     const auto found = this->forwards.find(answer.forward);
     if (found == this->forwards.end()) {
         world.counters.add("jujubekeel_late_answers_total");
+        const auto begin = this->begins.find(answer.forward);
+        if (begin != this->begins.end() && answer.code == ResultCode::Ok)
+            rollBackAbandoned(world, answer.transaction, begin->second, actions);
+        if (begin != this->begins.end())
+            this->begins.erase(begin);
         return;
     }
     const RequestId id = found->second;
     this->forwards.erase(found);
+    this->begins.erase(answer.forward);
     EntryRow &entry = world.entries.at(id);
 
     switch (answer.code) {
@@ -656,6 +692,8 @@
     logOutcome(world, entry, result.code, result.text, actions);
     if (!entry.callerGone)
         actions.emplace_back(AnswerCaller{.answer = std::move(answer)});
+    else if (result.code == ResultCode::Ok && entry.request.kind == RequestKind::Begin)
+        rollBackAbandoned(world, result.transaction, entry.request.session, actions);
     world.entries.erase(id);
 }
 
--- a/src/requests/requestsystem.h
+++ b/src/requests/requestsystem.h
@@ -10,6 +10,7 @@
 #include "session/sessiontokencodec.h"
 
 #include <map>
+#include <string>
 
 namespace Jujubekeel {
 
@@ -52,6 +53,7 @@
 
     SessionTokenCodec codec;
     std::map<std::uint64_t, RequestId> forwards; ///< attempts under way, by ForwardRequest::forward
+    std::map<std::uint64_t, std::string> begins; ///< sessions of Begin attempts without answer, by forward; bounded
     std::map<std::uint64_t, RequestId> tickets;  ///< open requests, by CallerRequest::ticket
 };
 
--- a/src/settings/settingsloader.cpp
+++ b/src/settings/settingsloader.cpp
@@ -304,6 +304,8 @@
     section.read("interest_time_ms", membership.interestTime, 100, dayMs);
     section.read("full_mesh_limit", membership.fullMeshLimit, 1, 10000);
     section.read("ring_fanout", membership.ringFanout, 1, 100);
+    section.read("large_fleet_interval_ms", membership.largeFleetInterval, 10, 60000);
+    section.read("candidates", membership.candidates, 1, 1000);
     section.read("list_interval_ms", membership.listInterval, 100, 600000);
     section.reportUnknownKeys();
     requireAtLeast(TimeSetting{section, "peer_timeout_ms", membership.peerTimeout},
