Split the entry side of requests by responsibility

Cause: requestsystem.cpp had grown to 745 lines: checks, attempts and reports. Ruled out: splitting by kind of request; all kinds share attempts and outcome. Change: RequestIntake checks a request and finds its session mark and rules, OutcomeReport writes counters, span and log line. Conclusion: behaviour unchanged.

--- a/src/requests/requestsystem.cpp
+++ b/src/requests/requestsystem.cpp
@@ -4,6 +4,8 @@
 #include "core/sendtopeer.h"
 #include "core/world.h"
 #include "observe/traceids.h"
+#include "requests/outcomereport.h"
+#include "requests/requestintake.h"
 #include "requests/transactionname.h"
 #include "routing/router.h"
 
@@ -47,21 +49,6 @@
     return entry.request.kind == RequestKind::Write && !isInTransaction(entry) && !entry.notRepeatable;
 }
 
-std::string rejectionEvent(Execution execution)
-{
-    switch (execution) {
-    case Execution::NotRun:
-        return "request-not-run";
-    case Execution::Unknown:
-        return "request-unknown";
-    case Execution::Failed:
-        return "request-failed";
-    case Execution::Ran:
-        break;
-    }
-    return "request-ok";
-}
-
 /// A transaction whose Begin was given up has no caller. It is rolled back, because it would hold a connection and delay
 /// a handover until it is found unused.
 void rollBackAbandoned(World &world, const std::string &transaction, const std::string &session, Actions &actions)
@@ -83,74 +70,6 @@
                actions);
 }
 
-void countOutcome(World &world, const EntryRow &entry, ResultCode code, bool fromReplica)
-{
-    const ResultCodeInfo &info = resultCodeInfo(code);
-    std::string outcome(executionName(info.execution));
-    std::ranges::replace(outcome, ' ', '_');
-    world.counters.add("jujubekeel_requests_finished_total{outcome=\"" + outcome + "\"}");
-    if (code != ResultCode::Ok) {
-        world.counters.add("jujubekeel_results_total{code=\"" + std::to_string(static_cast<unsigned>(code)) + "\"}");
-        return;
-    }
-    if (entry.request.kind == RequestKind::Read && !isInTransaction(entry)) {
-        world.counters.add(fromReplica ? "jujubekeel_reads_total{server=\"replica\"}"
-                                       : "jujubekeel_reads_total{server=\"primary\"}");
-        if (entry.acceptedAge)
-            world.counters.add("jujubekeel_reads_eligible_total");
-    }
-}
-
-void emitSpan(World &world, const EntryRow &entry, ResultCode code, Actions &actions)
-{
-    const bool slow = world.now - entry.arrived > world.options.trace.slow;
-    if (!entry.request.trace.sampled && code == ResultCode::Ok && !slow)
-        return;
-    Span span{.traceId = entry.request.trace.traceId,
-              .spanId = entry.spanId,
-              .parentSpan = entry.request.trace.parentSpan,
-              .name = "entry",
-              .start = entry.arrived,
-              .end = world.now,
-              .attributes = {{"instance", world.selfName()},
-                             {"failure_domain", world.layout.at(world.self).failureDomain},
-                             {"request", entry.request.id},
-                             {"database", entry.request.database},
-                             {"operation", entry.request.operation},
-                             {"result_code", std::to_string(static_cast<unsigned>(code))},
-                             {"backend_server", entry.decision.backend},
-                             {"attempts", std::to_string(entry.decision.attempts)},
-                             {"reason", entry.decision.reason}}};
-    if (entry.decision.ruleLine != 0) {
-        span.attributes.emplace_back("rule_line", std::to_string(entry.decision.ruleLine));
-        span.attributes.emplace_back("requester", entry.decision.requester);
-    }
-    actions.emplace_back(EmitSpan{.span = std::move(span)});
-}
-
-void logOutcome(const World &world, const EntryRow &entry, ResultCode code, const std::string &text, Actions &actions)
-{
-    if (code == ResultCode::Ok)
-        return;
-    WriteLog entryLog{.level = LogLevel::Warning,
-                      .event = rejectionEvent(resultCodeInfo(code).execution),
-                      .fields = {{"trace", entry.request.trace.traceId},
-                                 {"request", entry.request.id},
-                                 {"session", entry.request.session},
-                                 {"caller", entry.request.caller},
-                                 {"database", entry.request.database},
-                                 {"operation", entry.request.operation},
-                                 {"result_code", std::to_string(static_cast<unsigned>(code))},
-                                 {"reason", text},
-                                 {"attempts", std::to_string(entry.decision.attempts)},
-                                 {"duration_us", std::to_string((world.now - entry.arrived).count())}}};
-    if (entry.decision.ruleLine != 0) {
-        entryLog.fields.emplace_back("rule_line", std::to_string(entry.decision.ruleLine));
-        entryLog.fields.emplace_back("requester", entry.decision.requester);
-    }
-    actions.emplace_back(std::move(entryLog));
-}
-
 } // namespace
 
 RequestSystem::RequestSystem(const SessionOptions &options) : codec(options.tokenKeys)
@@ -165,7 +84,7 @@
     // The row exists also for a rejected request, so that all outcomes take one way out.
     EntryRow entry{.request = request, .arrived = world.now};
     LastReason reason;
-    const bool accepted = this->prepare(world, entry, reason);
+    const bool accepted = RequestIntake::prepare(world, entry, this->codec, reason);
     const RequestId id = world.entries.insert(std::move(entry));
     this->tickets.emplace(request.ticket, id);
     if (accepted)
@@ -174,118 +93,6 @@
         this->finish(world, id, reason.code(), reason.text(), actions);
 }
 
-bool RequestSystem::prepare(World &world, EntryRow &entry, LastReason &reason) const
-{
-    CallerRequest &request = entry.request;
-    if (request.id.empty())
-        request.id = makeName(world, "r");
-    if (request.trace.traceId.empty()) {
-        request.trace.traceId = makeTraceId(world);
-        request.trace.sampled =
-            world.counters.value("jujubekeel_requests_total") % 100 < world.options.trace.samplePercent;
-    }
-    entry.spanId = makeSpanId(world);
-
-    // Fields.
-    const auto database = world.databaseByName.find(request.database);
-    if (database == world.databaseByName.end()) {
-        reason.set(ResultCode::UnknownDatabase, "database \"" + request.database + "\" is not in the settings");
-        return false;
-    }
-    entry.database = database->second;
-    const bool needsStatement = request.kind == RequestKind::Read || request.kind == RequestKind::Write;
-    if (needsStatement && request.statement.empty()) {
-        reason.set(ResultCode::BadField, "field \"statement\" is empty; a read or write needs one");
-        return false;
-    }
-    if (needsStatement && request.operation.empty()) {
-        reason.set(ResultCode::BadField, "field \"operation\" is empty; rules are matched by it");
-        return false;
-    }
-    const bool endsTransaction = request.kind == RequestKind::Commit || request.kind == RequestKind::Rollback;
-    if (endsTransaction && request.transaction.empty()) {
-        reason.set(ResultCode::BadField, "field \"transaction\" is empty; commit and rollback need it");
-        return false;
-    }
-    if (request.kind == RequestKind::Begin && !request.transaction.empty()) {
-        reason.set(ResultCode::BadField, "field \"transaction\" is set; begin opens a new transaction");
-        return false;
-    }
-
-    // Time allowed.
-    const AdmissionOptions &admission = world.options.admission;
-    const Duration asked = request.timeout > Duration{0} ? request.timeout : admission.defaultTimeout;
-    entry.deadline = world.now + std::min(asked, admission.maxTimeout);
-
-    // State of this proxy. Open transactions may end during a planned stop.
-    if (world.stopping && !isInTransaction(entry)) {
-        reason.set(ResultCode::ProxyStopping, "instance " + world.selfName() + " is being stopped");
-        return false;
-    }
-    if (!world.rules) {
-        reason.set(ResultCode::NoRules, "no rule set has been received yet");
-        return false;
-    }
-
-    if (!this->prepareSession(world, entry, reason))
-        return false;
-    entry.hasCallerKey = !request.requestKey.empty();
-    if (changesData(request.kind) && request.requestKey.empty())
-        request.requestKey = makeName(world, "k");
-    applyRules(world, entry);
-    return true;
-}
-
-bool RequestSystem::prepareSession(World &world, EntryRow &entry, LastReason &reason) const
-{
-    CallerRequest &request = entry.request;
-    if (request.token.empty()) {
-        // A known session without its token may have written through any proxy; a new one has written nothing.
-        entry.markKnown = request.session.empty();
-        if (request.session.empty())
-            request.session = makeName(world, "s");
-        return true;
-    }
-
-    const auto mark = this->codec.verify(request.token, reason);
-    if (!mark)
-        return false;
-    if (mark->database != request.database) {
-        reason.set(ResultCode::BadToken,
-                   "the session token is for database \"" + mark->database + "\", not \"" + request.database + '"');
-        return false;
-    }
-    if (!request.session.empty() && request.session != mark->session) {
-        reason.set(ResultCode::BadToken, "the session token belongs to another session than Session-Id names");
-        return false;
-    }
-    request.session = mark->session;
-    entry.mark = mark->position;
-    entry.markKnown = true;
-    return true;
-}
-
-void RequestSystem::applyRules(const World &world, EntryRow &entry)
-{
-    const CallerRequest &request = entry.request;
-    entry.decision.rulesVersion = world.rules->version();
-
-    const Rule *rule = nullptr;
-    if (request.kind == RequestKind::Read && !isInTransaction(entry)) {
-        rule = world.rules->readAge(request.database, request.operation);
-        if (rule != nullptr)
-            entry.acceptedAge = rule->age;
-    } else if (changesData(request.kind)) {
-        rule = world.rules->noRepeat(request.database, request.operation);
-        entry.notRepeatable = rule != nullptr;
-    }
-    if (rule != nullptr) {
-        entry.decision.ruleLine = rule->line;
-        entry.decision.requester = rule->requester;
-        entry.decision.rule = rule->text;
-    }
-}
-
 void RequestSystem::callerGone(World &world, std::uint64_t ticket)
 {
     const auto found = this->tickets.find(ticket);
@@ -687,9 +494,7 @@
         answer.token =
             this->codec.sign({.session = entry.request.session, .database = entry.request.database, .position = mark});
 
-    countOutcome(world, entry, result.code, answer.fromReplica);
-    emitSpan(world, entry, result.code, actions);
-    logOutcome(world, entry, result.code, result.text, actions);
+    OutcomeReport::write(world, entry, result.code, result.text, answer.fromReplica, actions);
     if (!entry.callerGone)
         actions.emplace_back(AnswerCaller{.answer = std::move(answer)});
     else if (result.code == ResultCode::Ok && entry.request.kind == RequestKind::Begin)
--- a/src/requests/requestsystem.h
+++ b/src/requests/requestsystem.h
@@ -30,11 +30,6 @@
     void tick(World &world, Actions &actions);
 
 private:
-    /// Checks the request and fills in the row. Returns false with a reason if the request is rejected.
-    bool prepare(World &world, EntryRow &entry, LastReason &reason) const;
-    bool prepareSession(World &world, EntryRow &entry, LastReason &reason) const;
-    static void applyRules(const World &world, EntryRow &entry);
-
     /// Routes the request and sends it to an owner, or lets it wait.
     void attempt(World &world, RequestId id, Actions &actions);
     [[nodiscard]] Route route(const World &world, const EntryRow &entry) const;
