Move admission and spans out of the execution system

Ruled out: moving connections out as well; their end settles executions. Change: AdmissionControl and ExecutionReport. Conclusion: behaviour unchanged.

--- /dev/null
+++ b/src/requests/executionreport.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/action.h"
+#include "core/executionrow.h"
+#include "core/peermessages.h"
+
+namespace Jujubekeel {
+
+struct World;
+
+/// Spans of a finished execution: the owner's, and within it the time at the backend server. Stateless; used by
+/// ExecutionSystem.
+class ExecutionReport final
+{
+public:
+    static void write(World &world, const ExecutionRow &row, const ForwardAnswer &answer, Actions &actions);
+};
+
+} // namespace Jujubekeel
--- a/src/requests/executionsystem.cpp
+++ b/src/requests/executionsystem.cpp
@@ -1,12 +1,12 @@
 #include "requests/executionsystem.h"
 
+#include "admission/admissioncontrol.h"
 #include "authority/confirmationsystem.h"
 #include "authority/groupmonitorsystem.h"
 #include "core/sendtopeer.h"
 #include "core/world.h"
-#include "observe/traceids.h"
+#include "requests/executionreport.h"
 #include "requests/transactionname.h"
-#include "routing/router.h"
 
 #include <algorithm>
 #include <utility>
@@ -28,11 +28,6 @@
     return row.transaction.isValid();
 }
 
-bool needsPrimary(const ForwardRequest &forward)
-{
-    return forward.lookup || forward.barrier || forward.request.kind != RequestKind::Read;
-}
-
 /// Writes, commits and look-ups must be held by enough replicas before the caller hears of them.
 bool needsWriteConfirmation(const ExecutionRow &row)
 {
@@ -76,37 +71,6 @@
     return step == OwnershipStep::Owned || step == OwnershipStep::Closing;
 }
 
-void emitSpan(World &world, const ExecutionRow &row, const ForwardAnswer &answer, Actions &actions)
-{
-    const bool slow = world.now - row.arrived > world.options.trace.slow;
-    const TraceContext &trace = row.forward.request.trace;
-    if (!trace.sampled && answer.code == ResultCode::Ok && !slow)
-        return;
-    const std::string ownerSpan = makeSpanId(world);
-    const std::string &backend = world.layout.at(row.backend).name;
-    actions.emplace_back(
-        EmitSpan{.span = {.traceId = trace.traceId,
-                          .spanId = ownerSpan,
-                          .parentSpan = trace.parentSpan,
-                          .name = "owner",
-                          .start = row.arrived,
-                          .end = world.now,
-                          .attributes = {{"instance", world.selfName()},
-                                         {"backend_server", backend},
-                                         {"result_code", std::to_string(static_cast<unsigned>(answer.code))}}}});
-    if (row.sentAt == TimePoint{0})
-        return;
-    const TimePoint answeredAt = row.answeredAt > TimePoint{0} ? row.answeredAt : world.now;
-    actions.emplace_back(
-        EmitSpan{.span = {.traceId = trace.traceId,
-                          .spanId = makeSpanId(world),
-                          .parentSpan = ownerSpan,
-                          .name = "backend",
-                          .start = row.sentAt,
-                          .end = answeredAt,
-                          .attributes = {{"instance", world.selfName()}, {"backend_server", backend}}}});
-}
-
 } // namespace
 
 bool ExecutionSystem::hasWork(const World &world, BackendId backend)
@@ -129,7 +93,7 @@
     world.at(from).lastUsed = world.now;
 
     ForwardAnswer refusal{.forward = request.forward};
-    const bool accepted = admit(world, row, refusal);
+    const bool accepted = AdmissionControl::admit(world, row, refusal);
     const ExecutionId id = world.executions.insert(std::move(row));
     if (!accepted) {
         this->finish(world, id, std::move(refusal), actions);
@@ -146,81 +110,6 @@
     }
 }
 
-bool ExecutionSystem::admit(World &world, ExecutionRow &row, ForwardAnswer &refusal)
-{
-    const ForwardRequest &forward = row.forward;
-    if (!forward.request.transaction.empty() && !forward.lookup)
-        return admitStatement(world, row, refusal);
-
-    // The server must be owned here, take new work and be what the entry takes it for.
-    const BackendRow &backend = world.at(row.backend);
-    const DatabaseRow &database = world.at(backend.database);
-    if (backend.ownership.step != OwnershipStep::Owned) {
-        refusal.code = ResultCode::NoOwner;
-        refusal.text = "instance " + world.selfName() + " does not hold the connections of the backend server";
-        return false;
-    }
-    if (Router::refusesNewWork(world, row.backend) && !forward.lookup) {
-        refusal.code = ResultCode::BackendRefused;
-        refusal.text = "the backend server is leaving";
-        return false;
-    }
-    if (needsPrimary(forward) && database.primary != row.backend) {
-        refusal.code = ResultCode::BackendRefused;
-        refusal.text = "the backend server is not the primary";
-        refusal.primary = database.primary;
-        return false;
-    }
-    if (forward.term != 0 && forward.term != database.history.lastTerm()) {
-        refusal.code = ResultCode::BackendRefused;
-        refusal.text = "the primary has term " + std::to_string(database.history.lastTerm()) + ", not "
-                       + std::to_string(forward.term);
-        return false;
-    }
-
-    // Room in the queue, and a chance to be served in time.
-    const AdmissionOptions &options = world.options.admission;
-    const FairQueue &queue = world.workAt(row.backend).queue;
-    if (queue.size() >= options.queueLimit || queue.sizeOf(forward.request.caller) >= options.callerQueueLimit) {
-        refusal.code = ResultCode::QueueFull;
-        refusal.text = "the queue of the backend server is full";
-        world.counters.add("jujubekeel_shed_total{reason=\"queue_full\"}");
-        return false;
-    }
-    const auto slots = static_cast<std::int64_t>(std::max<std::uint32_t>(1, world.layout.at(row.backend).slots));
-    const Duration expectedWait = backend.serviceTime * static_cast<std::int64_t>(queue.size()) / slots;
-    if (!database.writesPaused && expectedWait + backend.serviceTime > forward.request.timeout) {
-        refusal.code = ResultCode::DeadlineTooShort;
-        refusal.text =
-            "the expected wait of " + std::to_string(expectedWait.count()) + " us is longer than the time left";
-        world.counters.add("jujubekeel_shed_total{reason=\"deadline\"}");
-        return false;
-    }
-    return true;
-}
-
-bool ExecutionSystem::admitStatement(World &world, ExecutionRow &row, ForwardAnswer &refusal)
-{
-    const CallerRequest &request = row.forward.request;
-    const auto name = TransactionName::parse(request.transaction);
-    TransactionRow *transaction = nullptr;
-    if (name && name->owner == world.selfName() && name->incarnation == world.incarnation)
-        transaction = world.transactions.find(name->id);
-    if (transaction == nullptr || transaction->backend != row.backend || transaction->session != request.session) {
-        refusal.code = ResultCode::UnknownTransaction;
-        refusal.text = "the transaction is not open";
-        return false;
-    }
-    if (transaction->running.isValid()) {
-        refusal.code = ResultCode::TransactionBusy;
-        refusal.text = "a statement of the transaction is still running";
-        return false;
-    }
-    row.transaction = name->id;
-    transaction->lastUsed = world.now;
-    return true;
-}
-
 void ExecutionSystem::advance(World &world, Actions &actions)
 {
     for (const BackendId id : world.engaged) {
@@ -698,7 +587,7 @@
 void ExecutionSystem::finish(World &world, ExecutionId id, ForwardAnswer answer, Actions &actions)
 {
     const ExecutionRow row = world.executions.at(id);
-    emitSpan(world, row, answer, actions);
+    ExecutionReport::write(world, row, answer, actions);
 
     // Leaves every place that lists it.
     BackendWork &work = world.workAt(row.backend);
--- a/src/requests/executionsystem.h
+++ b/src/requests/executionsystem.h
@@ -33,10 +33,6 @@
     [[nodiscard]] static bool hasWork(const World &world, BackendId backend);
 
 private:
-    /// Fills in \a refusal and returns false if the request can't be queued.
-    static bool admit(World &world, ExecutionRow &row, ForwardAnswer &refusal);
-    static bool admitStatement(World &world, ExecutionRow &row, ForwardAnswer &refusal);
-
     void startQueued(World &world, BackendId backend, Actions &actions);
     bool startInTransaction(World &world, BackendId backend, Actions &actions);
     bool startOutside(World &world, BackendId backend, Actions &actions);
