Split the promotion of primaries by responsibility

Cause: promotionsystem.cpp had 1108 lines, too many for a newcomer to find failure detection, the claim or the planned switchover in it. Ruled out: several systems called by ProxyCore, because the order of the steps within one tick would then be spread over two places; state in the new classes, because the rows of World hold it. Change: PromotionSystem orders the steps and keeps fencing and promotion. FailureDetector, PlannedSwitchover, PromotionClaim, LeaseTakeover and MemberConnections take their parts, promotionrules has the questions that they share. Steps that led from one part to another are return values now. No change of behaviour. Conclusion: the decisions are the same, and each part can be read alone.

--- /dev/null
+++ b/src/authority/failuredetector.cpp
@@ -0,0 +1,181 @@
+#include "authority/failuredetector.h"
+
+#include "authority/promotionrules.h"
+#include "authority/writeauthoritypolicy.h"
+#include "core/world.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+namespace Jujubekeel {
+
+namespace {
+
+/// A server that is reported under an older term this long after a promotion is told to follow.
+constexpr Duration repairAfter = std::chrono::milliseconds(300);
+constexpr Duration repairInterval = std::chrono::seconds(1);
+
+} // namespace
+
+FailureDetector::Finding FailureDetector::watch(World &world, DatabaseId database, Actions &actions)
+{
+    const AuthorityOptions &options = world.options.authority;
+    DatabaseRow &row = world.at(database);
+    PromotionState &promotion = row.promotion;
+    const bool known = row.primary.isValid();
+    const BackendRow *primary = known ? &world.at(row.primary) : nullptr;
+    const bool replicated = row.backends.size() > 1;
+
+    // Suspicion: the owner is gone or silent, or the group has confirmed nothing for a while.
+    const bool owned = known && hasLiveOwner(world, *primary);
+    const bool ownerHeard = owned && world.now - primary->ownerHeard <= options.suspectAfter;
+    const Duration unconfirmedFor = known ? world.now - primary->currentAsOf : Duration{0};
+    const bool suspect = known ? !ownerHeard || (replicated && unconfirmedFor > options.cutOffAfter / 3)
+                               : world.now - promotion.coordinatesSince > options.suspectAfter;
+    const std::size_t primaryIndex = known ? memberIndex(row, row.primary) : row.backends.size();
+    const bool answersHere = known && promotion.members[primaryIndex].answeredAt != TimePoint{0}
+                             && world.now - promotion.members[primaryIndex].answeredAt <= options.suspectAfter;
+    if (!ownerHeard && !answersHere)
+        promotion.seenSince = TimePoint{0};
+    else if (promotion.seenSince == TimePoint{0})
+        promotion.seenSince = world.now;
+    if (!suspect) {
+        promotion.suspectSince = TimePoint{0};
+        promotion.cutOffSince = TimePoint{0};
+        promotion.fenceLeftSince = TimePoint{0};
+    } else if (promotion.suspectSince == TimePoint{0}) {
+        promotion.suspectSince = world.now;
+        for (PromotionMember &member : promotion.members) {
+            member.failedAt = TimePoint{0};
+            member.unconfirmedAt = TimePoint{0};
+        }
+    }
+
+    // Short-lived control connections: to the whole group while the primary is suspect, else to servers that must be
+    // told something.
+    for (std::size_t index = 0; index < promotion.members.size(); ++index) {
+        PromotionMember &member = promotion.members[index];
+        if (member.followWanted && known && member.open && member.serial == 0) {
+            BackendRequest request{.operation = BackendOperation::Follow,
+                                   .term = row.history.lastTerm(),
+                                   .primary = world.layout.at(row.primary).name};
+            this->connections.send(world, database, index, std::move(request), options.stepTimeout, actions);
+        } else if (suspect) {
+            this->connections.probe(world, database, index, index == primaryIndex && replicated,
+                                    MemberConnections::probeInterval, actions);
+        } else if (member.inspect || (member.followWanted && !member.connection.isValid())) {
+            // A server that cannot be reached is inspected again once an owner reports it.
+            if (member.failedAt != TimePoint{0} && world.now < member.notBefore) {
+                member.inspect = false;
+                member.followWanted = false;
+            } else {
+                this->connections.probe(world, database, index, false, MemberConnections::probeInterval, actions);
+            }
+        } else if (!member.followWanted && member.serial == 0) {
+            this->connections.close(world, member, actions);
+        }
+    }
+    if (!suspect)
+        return {};
+
+    // Evidence from the servers themselves.
+    std::size_t freshReplicas = 0;
+    std::size_t silent = 0;
+    std::size_t fenced = 0;
+    for (std::size_t index = 0; index < promotion.members.size(); ++index) {
+        const PromotionMember &member = promotion.members[index];
+        if (!isFresh(world, member))
+            continue;
+        fenced += member.status->fencedTerm > row.history.lastTerm() ? 1 : 0;
+        if (index == primaryIndex)
+            continue;
+        freshReplicas += 1;
+        silent += member.status->primarySilence >= options.replicationSilence ? 1 : 0;
+    }
+    if (fenced < majority(row))
+        promotion.fenceLeftSince = TimePoint{0};
+    else if (promotion.fenceLeftSince == TimePoint{0})
+        promotion.fenceLeftSince = world.now;
+    if (promotion.step != PromotionStep::Idle || world.now < promotion.notBefore)
+        return {.suspect = true};
+
+    // A promotion that ended between fence and announcement.
+    if (promotion.fenceLeftSince != TimePoint{0} && world.now - promotion.fenceLeftSince > patience(world))
+        return {.suspect = true, .reason = "a majority refuses the known term"};
+    if (!known || !replicated)
+        return {.suspect = true};
+
+    // The primary is gone: neither its owner nor this instance has heard it, and its replicas receive nothing. Hold-off
+    // applies unless its address refuses connections.
+    const PromotionMember &atPrimary = promotion.members[primaryIndex];
+    const bool refused = atPrimary.failedAt != TimePoint{0};
+    const TimePoint ownerHeardAt = ownerHeard ? primary->ownerHeard : TimePoint{0};
+    const TimePoint answeredAt = refused ? TimePoint{0} : atPrimary.answeredAt;
+    const bool answers = answeredAt != TimePoint{0} && world.now - answeredAt <= options.suspectAfter;
+    const bool seen = ownerHeard || answers;
+    const bool probed = world.now - promotion.suspectSince >= MemberConnections::probeInterval;
+    const TimePoint lastSeen = std::max({primary->currentAsOf, promotion.seenSince, ownerHeardAt, answeredAt});
+    const bool unheard = refused || (probed && world.now - lastSeen > options.suspectAfter);
+    const bool held = world.now - row.lastPromotion < options.promotionHoldOff;
+    if (!seen && unheard && silent >= silentNeeded(row) && freshReplicas >= majority(row) && (refused || !held)) {
+        return {.suspect = true,
+                .reason = refused ? "primary refuses connections" : "primary is silent",
+                .excludePrimary = true};
+    }
+
+    // Under a lease alone the primary acknowledges without its replicas, so it is not replaced while it answers.
+    if (!usesConfirmation(options.policy))
+        return {.suspect = true};
+
+    // The primary is cut off: it answers, and the group confirms nothing.
+    // The time before it was first seen says nothing.
+    if (!seen || unconfirmedFor <= options.cutOffAfter / 3) {
+        promotion.cutOffSince = TimePoint{0};
+        return {.suspect = true};
+    }
+    promotion.cutOffSince =
+        std::max({primary->currentAsOf, promotion.seenSince, promotion.coordinatesSince, row.lastPromotion});
+    const bool unconfirmed = !atPrimary.open || atPrimary.unconfirmedAt != TimePoint{0};
+    if (world.now - promotion.cutOffSince > options.cutOffAfter && unconfirmed && freshReplicas >= majority(row)
+        && !held)
+        return {.suspect = true, .reason = "primary is cut off from its replicas", .excludePrimary = true};
+    return {.suspect = true};
+}
+
+void FailureDetector::inspectLagging(World &world, DatabaseId database)
+{
+    // Servers that came back under an older term, or whose log stopped growing, are asked for their status and told to
+    // follow if need be.
+    const AuthorityOptions &options = world.options.authority;
+    DatabaseRow &row = world.at(database);
+    const BackendRow &primary = world.at(row.primary);
+    for (std::size_t index = 0; index < row.backends.size(); ++index) {
+        const BackendId backend = row.backends[index];
+        const BackendRow &server = world.at(backend);
+        PromotionMember &member = row.promotion.members[index];
+        if (backend == row.primary || !hasLiveOwner(world, server)) {
+            member.behindSince = TimePoint{0};
+            member.progressAt = TimePoint{0};
+            continue;
+        }
+        if (server.history.lastTerm() >= row.history.lastTerm())
+            member.behindSince = TimePoint{0};
+        else if (member.behindSince == TimePoint{0})
+            member.behindSince = world.now;
+        if (server.received >= primary.current) {
+            member.progressAt = TimePoint{0};
+        } else if (member.progressAt == TimePoint{0} || server.received != member.seenReceived) {
+            member.progressAt = world.now;
+            member.seenReceived = server.received;
+        }
+        const bool behind = member.behindSince != TimePoint{0} && world.now - member.behindSince > repairAfter;
+        const bool stuck = member.progressAt != TimePoint{0} && world.now - member.progressAt > options.cutOffAfter;
+        if ((behind || stuck) && world.now >= member.nextRepair) {
+            member.inspect = true;
+            member.nextRepair = world.now + repairInterval;
+        }
+    }
+}
+
+} // namespace Jujubekeel
--- a/src/authority/promotionsystem.h
+++ b/src/authority/promotionsystem.h
@@ -1,18 +1,19 @@
 #pragma once
 
+#include "authority/failuredetector.h"
 #include "authority/groupmonitorsystem.h"
+#include "authority/leasetakeover.h"
+#include "authority/memberconnections.h"
+#include "authority/plannedswitchover.h"
+#include "authority/promotionclaim.h"
 #include "core/action.h"
 #include "core/backendmessages.h"
-#include "core/databaserow.h"
 #include "core/id.h"
 #include "core/peermessages.h"
 #include "core/platformmessages.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace Jujubekeel {
 
@@ -38,37 +39,24 @@
 
 private:
     void updateCoordination(World &world);
-    void tickPause(World &world, DatabaseId database, Actions &actions);
     void tickDatabase(World &world, DatabaseId database, Actions &actions);
+    void reset(World &world, DatabaseId database, Actions &actions);
     void watch(World &world, DatabaseId database, Actions &actions);
-    void repair(World &world, DatabaseId database, Actions &actions);
 
     void start(World &world, DatabaseId database, const std::string &reason, bool excludePrimary, Actions &actions);
-    bool startPlanned(World &world, DatabaseId database, Actions &actions);
-    void tickCatchingUp(World &world, DatabaseId database, Actions &actions);
-    void pauseWrites(World &world, DatabaseId database, bool paused, Actions &actions);
-    void startClaim(World &world, DatabaseId database, Actions &actions);
-    void readClaim(World &world, DatabaseId database, Actions &actions);
-    void claimAnswered(World &world, DatabaseId database, const PlatformAnswer &answer, Actions &actions);
     void beginFence(World &world, DatabaseId database, std::uint64_t term, Actions &actions);
     void tickFencing(World &world, DatabaseId database, Actions &actions);
-    void callLease(World &world, DatabaseId database, std::uint64_t expectedVersion, bool write, Actions &actions);
-    void leaseAnswered(World &world, DatabaseId database, const PlatformAnswer &answer, Actions &actions);
     void tickAwaitingLease(World &world, DatabaseId database, Actions &actions);
     void promote(World &world, DatabaseId database, Actions &actions);
     void finish(World &world, DatabaseId database, const ServerStatus &status, Actions &actions);
     void fail(World &world, DatabaseId database, const std::string &reason, Actions &actions);
-    void reset(World &world, DatabaseId database, Actions &actions);
-
-    void open(World &world, DatabaseId database, std::size_t member, Actions &actions);
-    void close(World &world, PromotionMember &member, Actions &actions);
-    void send(World &world, DatabaseId database, std::size_t member, BackendRequest request, Duration timeout,
-              Actions &actions);
-    void probe(World &world, DatabaseId database, std::size_t member, bool barrier, Duration interval,
-               Actions &actions);
-    void expire(World &world, DatabaseId database, Actions &actions);
 
     GroupMonitorSystem monitor;
+    MemberConnections connections;
+    FailureDetector detector;
+    PlannedSwitchover switchover;
+    PromotionClaim claim;
+    LeaseTakeover lease;
     std::uint64_t liveSet = 0; ///< hash over the instances that rankings count
     bool liveSetKnown = false;
 };
