Split the fake backend server by responsibility

Ruled out: barriers next to replication; a barrier ends with its session, and replication already depends on the sessions for its answers. Change: FakeLog keeps the stored log, its keys and the data, FakeSessions the sessions with the lock, statements in slots and pending barriers, FakeReplication the role, terms, replication and the outcome of barriers, FakeExecution statements and transactions; fakestatements has the statement language. FakeBackend's interface is as before. No change of behaviour. Conclusion: the fake answers as before, and each part can be read alone.

--- /dev/null
+++ b/src/fakes/fakestatements.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jujubekeel {
+
+// The statements of FakeBackend, which are listed there, and the data that they run on.
+
+/// A value is a list: `put` stores one element, `append` adds one.
+using FakeData = std::map<std::string, std::vector<std::string>, std::less<>>;
+
+struct FakeStatementResult
+{
+    bool ok = true;
+    std::string value;
+    std::string error;
+};
+
+[[nodiscard]] bool changesData(std::string_view statement);
+
+/// Key that a statement names; empty if there is none.
+[[nodiscard]] std::string_view statementKey(std::string_view statement);
+
+/// Runs one statement on \a data.
+FakeStatementResult runStatement(FakeData &data, std::string_view statement);
+
+/// The statements of a log entry are stored one a line.
+[[nodiscard]] std::vector<std::string_view> splitStatementLines(std::string_view text);
+[[nodiscard]] std::string joinStatementLines(std::span<const std::string> lines);
+
+} // namespace Jujubekeel
