Split links, faults and the platform from the virtual fleet

Ruled out: a public interface of the nodes for faults, which tests could then use past Fault; FaultInjector is a friend instead. An own random source for the links, because it would change the sequence of every seed. Change: FleetLinks keeps cuts, delays and the order of arrival, FaultInjector translates faults, FaultRecord keeps outages and planned stops, FleetPlatform the platform with calls and operators; estimateBytes is in peermessagesize. The interface of VirtualFleet is as before. No change of behaviour.

--- /dev/null
+++ b/src/virtualfleet/fleetlinks.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+
+namespace Jujubekeel {
+
+class SeededRandom;
+
+/// Links between the nodes of a virtual fleet: which are cut, how long a message takes and the order of arrival. Nodes
+/// have the numbers that VirtualFleet gives them. Owned by VirtualFleet.
+class FleetLinks final
+{
+public:
+    /// \a newRandom must outlive the links.
+    FleetLinks(Duration newLatency, Duration newJitter, SeededRandom &newRandom);
+
+    /// A link that is cut twice must be healed twice.
+    void cut(std::uint32_t left, std::uint32_t right);
+    void heal(std::uint32_t left, std::uint32_t right);
+    void healAll();
+    [[nodiscard]] bool isCut(std::uint32_t left, std::uint32_t right) const;
+    /// Whether any link of a node is cut.
+    [[nodiscard]] bool hasCut(std::uint32_t node) const;
+
+    /// Time that the next message takes.
+    [[nodiscard]] Duration delay();
+    /// Arrival of a message sent now that must not overtake the one that arrives at \a last, which is updated.
+    [[nodiscard]] TimePoint orderedArrival(TimePoint now, TimePoint &last);
+    /// The same for messages from one node to another.
+    [[nodiscard]] TimePoint orderedArrival(TimePoint now, std::uint32_t from, std::uint32_t to);
+
+private:
+    Duration latency;
+    Duration jitter;
+    SeededRandom &random;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> cuts;     ///< links, with number of cuts
+    std::map<std::pair<std::uint32_t, std::uint32_t>, TimePoint> lastArrivals; ///< ordered messages between nodes
+};
+
+} // namespace Jujubekeel
--- a/src/virtualfleet/virtualfleet.cpp
+++ b/src/virtualfleet/virtualfleet.cpp
@@ -1,10 +1,11 @@
 #include "virtualfleet/virtualfleet.h"
 
 #include "core/statehasher.h"
+#include "virtualfleet/faultinjector.h"
+#include "virtualfleet/peermessagesize.h"
 
 #include <algorithm>
 #include <cassert>
-#include <sstream>
 #include <type_traits>
 
 namespace Jujubekeel {
@@ -13,86 +14,26 @@
 
 // TimePoint 0 stands for "never" in the rows of the core, so the virtual time starts later.
 constexpr TimePoint fleetStart = std::chrono::seconds(100);
-constexpr Duration platformLatency = std::chrono::milliseconds(3);
-// Lists and rules of the start are in force when the fleet starts, so they reach the platform before that.
-constexpr TimePoint platformStart = std::chrono::seconds(1);
-constexpr std::uint64_t operatorClient = std::uint64_t{1} << 48U; // operators follow the clients of proxies
-constexpr Duration operatorTimeout = std::chrono::seconds(1);
-
-std::uint64_t platformClient(std::uint32_t proxy, std::uint64_t incarnation)
-{
-    return (std::uint64_t{proxy} << 32U) | incarnation;
-}
-
-PlatformAnswer unavailable(std::uint64_t call)
-{
-    PlatformAnswer answer;
-    answer.call = call;
-    answer.code = PlatformStatusCode::Unavailable;
-    return answer;
-}
 
 bool startsWork(BackendOperation operation)
 {
     return operation == BackendOperation::Execute || operation == BackendOperation::Begin;
 }
 
-/// Names of the servers that a rule text marks as leaving.
-std::vector<std::string> leavingServers(const std::string &text)
-{
-    std::vector<std::string> names;
-    std::istringstream lines(text);
-    for (std::string line; std::getline(lines, line);) {
-        std::istringstream words(line);
-        std::string verb;
-        std::string kind;
-        std::string name;
-        if (words >> verb >> kind >> name && verb == "leaving" && kind == "backend")
-            names.push_back(name);
-    }
-    return names;
-}
-
-std::pair<std::uint32_t, std::uint32_t> linkOf(std::uint32_t left, std::uint32_t right)
-{
-    return {std::min(left, right), std::max(left, right)};
-}
-
-std::uint64_t textBytes(const CallerRequest &request)
-{
-    return request.id.size() + request.database.size() + request.caller.size() + request.session.size()
-           + request.token.size() + request.operation.size() + request.statement.size() + request.requestKey.size()
-           + request.transaction.size() + request.trace.traceId.size() + request.trace.parentSpan.size();
-}
-
 } // namespace
 
 VirtualFleet::VirtualFleet(VirtualFleetOptions fleetOptions)
-    : options(std::move(fleetOptions)), random(options.seed), queue(fleetStart)
+    : options(std::move(fleetOptions)), random(options.seed), queue(fleetStart),
+      links(this->options.latency, this->options.jitter, this->random),
+      platformSide(this->options, this->queue, this->links, this->trafficCounts,
+                   [this](std::uint32_t proxy, std::uint64_t incarnation, Input input) {
+                       this->deliver(proxy, incarnation, std::move(input));
+                   })
 {
     if (this->options.proxy.session.tokenKeys.empty())
         this->options.proxy.session.tokenKeys = {"virtual-fleet-key"};
     const FleetLayout &fleetLayout = this->options.layout;
 
-    // Platform with the instance list and the first rules.
-    this->platformFake = std::make_unique<FakePlatform>(
-        FakePlatformOptions{.latency = platformLatency, .listLag = this->options.listLag});
-    for (const InstanceSettings &instance : fleetLayout.instances)
-        this->platformFake->setInstance(platformStart, instance.name, false);
-    if (!this->options.rules.empty()) {
-        RuleOperator first("rules/" + fleetLayout.user, "first", 1, this->options.rules);
-        while (!first.isDone()) {
-            this->platformFake->call(platformStart, operatorClient, first.nextCall(this->nextOperatorCall++));
-            this->platformFake->advance(platformStart + platformLatency);
-            for (const FakePlatformOutput &output : this->platformFake->takeOutputs())
-                first.handle(output.answer);
-        }
-        this->ruleChanges.push_back(HistoryRuleChange{.version = first.acceptedVersion(),
-                                                      .acceptedAt = fleetStart,
-                                                      .leaving = leavingServers(this->options.rules)});
-    }
-    this->platformFake->advance(fleetStart);
-
     // Backend servers. The first primaries are spread over the failure domains.
     this->backends.resize(fleetLayout.backends.size());
     for (std::uint32_t database = 0; database < fleetLayout.databases.size(); ++database) {
@@ -118,7 +59,7 @@
         this->startProxy(proxy);
     for (std::uint32_t backend = 0; backend < this->backends.size(); ++backend)
         this->flushBackend(backend);
-    this->flushPlatform();
+    this->platformSide.flush();
 }
 
 void VirtualFleet::runUntil(TimePoint end)
@@ -145,34 +86,12 @@
 
 void VirtualFleet::cutLink(std::uint32_t left, std::uint32_t right)
 {
-    this->cuts[linkOf(left, right)] += 1;
+    this->links.cut(left, right);
 }
 
 void VirtualFleet::healLink(std::uint32_t left, std::uint32_t right)
 {
-    const auto found = this->cuts.find(linkOf(left, right));
-    if (found == this->cuts.end())
-        return;
-    found->second -= 1;
-    if (found->second == 0)
-        this->cuts.erase(found);
-}
-
-bool VirtualFleet::isCut(std::uint32_t left, std::uint32_t right) const
-{
-    return !this->cuts.empty() && this->cuts.contains(linkOf(left, right));
-}
-
-Duration VirtualFleet::delay()
-{
-    const auto range = static_cast<std::uint64_t>(this->options.jitter.count()) + 1;
-    return this->options.latency + Duration(static_cast<Duration::rep>(this->random.below(range)));
-}
-
-TimePoint VirtualFleet::orderedArrival(TimePoint &last)
-{
-    last = std::max(last, this->now() + this->delay());
-    return last;
+    this->links.heal(left, right);
 }
 
 // Proxies.
@@ -222,7 +141,7 @@
     const auto tickets = std::move(node.tickets);
     node.tickets.clear();
     for (const std::uint64_t ticket : tickets) {
-        if (!this->isCut(this->callerNode(), proxy))
+        if (!this->links.isCut(this->callerNode(), proxy))
             this->notifyCaller(ticket, CallerOutcome::ConnectionLost, CallerAnswer{});
     }
 }
@@ -285,15 +204,12 @@
             } else if constexpr (std::is_same_v<Content, SendToPeer>) {
                 this->sendPeer(proxy, content.to.index, std::move(content.message));
             } else if constexpr (std::is_same_v<Content, CallPlatform>) {
-                this->callPlatform(proxy, content.call);
+                this->platformSide.call(proxy, this->proxies[proxy].incarnation, content.call);
             } else if constexpr (std::is_same_v<Content, WriteLog>) {
                 if (this->logHandler)
                     this->logHandler(proxy, content);
             } else if constexpr (std::is_same_v<Content, StopProcess>) {
-                for (HistoryStop &stop : this->stops) {
-                    if (stop.proxy == proxy && stop.stoppedAt == TimePoint{0})
-                        stop.stoppedAt = this->now();
-                }
+                this->record.stopped(this->now(), proxy);
                 this->endProxy(proxy);
                 this->updateOutages();
             }
@@ -305,12 +221,12 @@
 {
     this->trafficCounts.peerMessages += 1;
     this->trafficCounts.peerBytes += estimateBytes(message);
-    if (this->isCut(from, to) || !this->proxies[to].core)
+    if (this->links.isCut(from, to) || !this->proxies[to].core)
         return;
     const std::uint64_t receiver = this->proxies[to].incarnation;
-    this->queue.add(this->orderedArrival(this->lastArrivals[{from, to}]), [this, from, to, receiver,
-                                                                           content = std::move(message)] {
-        if (!this->isCut(from, to)) {
+    this->queue.add(this->links.orderedArrival(this->now(), from, to), [this, from, to, receiver,
+                                                                        content = std::move(message)] {
+        if (!this->links.isCut(from, to)) {
             this->deliver(to, receiver,
                           PeerMessageArrived{.from = InstanceId{.index = from, .generation = 0}, .message = content});
         }
@@ -322,7 +238,7 @@
 void VirtualFleet::send(std::uint32_t proxy, const CallerRequest &request)
 {
     this->queue.add(this->now() + this->options.callerLatency, [this, proxy, request] {
-        if (this->isCut(this->callerNode(), proxy))
+        if (this->links.isCut(this->callerNode(), proxy))
             return;
         ProxyNode &node = this->proxies[proxy];
         if (!node.core) {
@@ -345,7 +261,7 @@
 void VirtualFleet::abandon(std::uint64_t ticket)
 {
     for (std::uint32_t proxy = 0; proxy < this->proxies.size(); ++proxy) {
-        if (this->proxies[proxy].tickets.contains(ticket) && !this->isCut(this->callerNode(), proxy)) {
+        if (this->proxies[proxy].tickets.contains(ticket) && !this->links.isCut(this->callerNode(), proxy)) {
             this->queue.add(this->now() + this->options.callerLatency,
                             [this, proxy, ticket, incarnation = this->proxies[proxy].incarnation] {
                                 this->deliver(proxy, incarnation, CallerGone{.ticket = ticket});
@@ -357,7 +273,7 @@
 void VirtualFleet::answerCaller(std::uint32_t proxy, CallerAnswer answer)
 {
     this->proxies[proxy].tickets.erase(answer.ticket);
-    if (this->isCut(this->callerNode(), proxy))
+    if (this->links.isCut(this->callerNode(), proxy))
         return;
     const std::uint64_t ticket = answer.ticket;
     this->notifyCaller(ticket, CallerOutcome::Answered, std::move(answer));
@@ -405,7 +321,7 @@
                         const auto found = this->connections.find(session);
                         if (found == this->connections.end())
                             return;
-                        if (this->isCut(proxy, this->backendNode(backend))) {
+                        if (this->links.isCut(proxy, this->backendNode(backend))) {
                             report(this->now() + this->options.connectTimeout, false, "no answer in time");
                             return;
                         }
@@ -434,15 +350,15 @@
                          .proxy = proxy,
                          .backend = backend,
                          .write = connection.write};
-    if (this->isCut(proxy, this->backendNode(backend)))
+    if (this->links.isCut(proxy, this->backendNode(backend)))
         connection.silent = true;
     if (!connection.silent) {
-        this->queue.add(this->orderedArrival(connection.lastToBackend),
+        this->queue.add(this->links.orderedArrival(this->now(), connection.lastToBackend),
                         [this, number, backend, proxy, request = std::move(action.request)] {
                             const auto found = this->connections.find(number);
                             if (found == this->connections.end() || found->second.silent)
                                 return;
-                            if (this->isCut(proxy, this->backendNode(backend))) {
+                            if (this->links.isCut(proxy, this->backendNode(backend))) {
                                 found->second.silent = true;
                                 return;
                             }
@@ -476,10 +392,10 @@
     Connection &connection = found->second;
     connection.openAtProxy = false;
     // A close that cannot reach the server is noticed there only after its own timeout.
-    const bool lost = connection.silent || this->isCut(connection.proxy, this->backendNode(connection.backend));
-    const TimePoint arrival =
-        lost ? this->now() + this->options.deadSessionTimeout
-             : std::max(this->orderedArrival(connection.lastToBackend), this->now() + this->options.latency);
+    const bool lost = connection.silent || this->links.isCut(connection.proxy, this->backendNode(connection.backend));
+    const TimePoint arrival = lost ? this->now() + this->options.deadSessionTimeout
+                                   : std::max(this->links.orderedArrival(this->now(), connection.lastToBackend),
+                                              this->now() + this->options.latency);
     this->queue.add(arrival, [this, session] { this->reapSession(session); });
 }
 
@@ -507,14 +423,14 @@
         this->connections.erase(found);
         return;
     }
-    if (found->second.silent || this->isCut(found->second.proxy, this->backendNode(found->second.backend)))
+    if (found->second.silent || this->links.isCut(found->second.proxy, this->backendNode(found->second.backend)))
         return;
-    this->queue.add(this->orderedArrival(found->second.lastToProxy), [this, session] {
+    this->queue.add(this->links.orderedArrival(this->now(), found->second.lastToProxy), [this, session] {
         const auto lost = this->connections.find(session);
         if (lost == this->connections.end() || lost->second.silent || !lost->second.openAtProxy)
             return;
         const Connection connection = lost->second;
-        if (this->isCut(connection.proxy, this->backendNode(connection.backend)))
+        if (this->links.isCut(connection.proxy, this->backendNode(connection.backend)))
             return;
         this->connections.erase(lost);
         ProxyNode &node = this->proxies[connection.proxy];
@@ -536,7 +452,7 @@
             if (found == this->connections.end() || found->second.silent)
                 continue;
             Connection &connection = found->second;
-            if (this->isCut(connection.proxy, this->backendNode(backend))) {
+            if (this->links.isCut(connection.proxy, this->backendNode(backend))) {
                 connection.silent = true;
                 continue;
             }
@@ -546,12 +462,13 @@
                                   .backend = backend,
                                   .write = connection.write};
             this->queue.add(
-                this->orderedArrival(connection.lastToProxy), [this, session, content = std::move(answer->answer)] {
+                this->links.orderedArrival(this->now(), connection.lastToProxy),
+                [this, session, content = std::move(answer->answer)] {
                     const auto target = this->connections.find(session);
                     if (target == this->connections.end() || target->second.silent || !target->second.openAtProxy)
                         return;
                     const Connection &to = target->second;
-                    if (this->isCut(to.proxy, this->backendNode(to.backend))) {
+                    if (this->links.isCut(to.proxy, this->backendNode(to.backend))) {
                         target->second.silent = true;
                         return;
                     }
@@ -586,13 +503,13 @@
 {
     const std::uint32_t fromNode = this->backendNode(from);
     const std::uint32_t toNode = this->backendNode(to);
-    if (this->isCut(fromNode, toNode) || !this->backends[to].up)
+    if (this->links.isCut(fromNode, toNode) || !this->backends[to].up)
         return;
     this->queue.add(
-        this->orderedArrival(this->lastArrivals[{fromNode, toNode}]),
+        this->links.orderedArrival(this->now(), fromNode, toNode),
         [this, from, to, fromNode, toNode, starts = this->backends[to].starts, content = std::move(message)] {
             BackendNode &target = this->backends[to];
-            if (this->isCut(fromNode, toNode) || !target.up || target.starts != starts)
+            if (this->links.isCut(fromNode, toNode) || !target.up || target.starts != starts)
                 return;
             target.server->replicate(this->now(), this->options.layout.backends[from].name, content);
             this->flushBackend(to);
@@ -633,249 +550,25 @@
     this->flushBackend(backend);
 }
 
-void VirtualFleet::silenceConnection(std::uint32_t database)
-{
-    // The first busy-looking work connection is the oldest open one.
-    const std::uint32_t primary = this->primaryOf(database);
-    for (auto &[session, connection] : this->connections) {
-        if (connection.backend == primary && !connection.control && connection.openAtBackend && connection.openAtProxy
-            && !connection.silent) {
-            connection.silent = true;
-            return;
-        }
-    }
-}
-
-// Platform and operators.
-
-void VirtualFleet::callPlatform(std::uint32_t proxy, const PlatformCall &call)
-{
-    this->trafficCounts.platformCalls += 1;
-    const std::uint64_t incarnation = this->proxies[proxy].incarnation;
-    const std::uint64_t client = platformClient(proxy, incarnation);
-    this->platformWaits[{client, call.call}] = PlatformWait{.proxy = proxy, .incarnation = incarnation};
-
-    // The shell gives up on a call after its own limit.
-    this->queue.add(this->now() + call.wait + this->options.platformTimeout,
-                    [this, client, proxy, incarnation, number = call.call] {
-                        if (this->platformWaits.erase({client, number}) == 0)
-                            return;
-                        this->trafficCounts.platformFailures += 1;
-                        this->deliver(proxy, incarnation, PlatformAnswered{.answer = unavailable(number)});
-                    });
-    if (this->isCut(proxy, this->platformNode()))
-        return;
-    this->queue.add(this->now() + this->delay(), [this, client, call] {
-        this->platformFake->call(this->now(), client, call);
-        this->flushPlatform();
-    });
-}
-
-void VirtualFleet::flushPlatform()
-{
-    for (FakePlatformOutput &output : this->platformFake->takeOutputs()) {
-        if (output.client >= operatorClient) {
-            const std::size_t number = output.client - operatorClient;
-            if (number < this->operators.size() && !this->operators[number].isDone()) {
-                this->operators[number].handle(output.answer);
-                this->operatorAnswered(number);
-            }
-            continue;
-        }
-        const std::uint64_t client = output.client;
-        const auto wait = this->platformWaits.find({client, output.answer.call});
-        if (wait == this->platformWaits.end() || this->isCut(wait->second.proxy, this->platformNode()))
-            continue;
-        this->queue.add(this->now() + this->delay(), [this, client, answer = std::move(output.answer)] {
-            const auto found = this->platformWaits.find({client, answer.call});
-            if (found == this->platformWaits.end() || this->isCut(found->second.proxy, this->platformNode()))
-                return;
-            const PlatformWait target = found->second;
-            this->platformWaits.erase(found);
-            this->deliver(target.proxy, target.incarnation, PlatformAnswered{.answer = answer});
-        });
-    }
-    const TimePoint next = std::max(this->platformFake->nextEvent(), this->now() + Duration(1));
-    if (this->platformWakeAt <= this->now() || next < this->platformWakeAt) {
-        this->platformWakeAt = next;
-        this->queue.add(next, [this, next] {
-            if (this->platformWakeAt != next)
-                return;
-            this->platformFake->advance(this->now());
-            this->flushPlatform();
-        });
-    }
-}
-
-void VirtualFleet::startOperator(const std::string &author, const std::string &text)
-{
-    this->operators.emplace_back("rules/" + this->options.layout.user, author, this->operators.size() + 2, text);
-    this->runOperator(this->operators.size() - 1);
-}
-
-void VirtualFleet::runOperator(std::size_t number)
-{
-    const PlatformCall call = this->operators[number].nextCall(this->nextOperatorCall++);
-    this->queue.add(this->now() + this->delay(), [this, number, call] {
-        this->platformFake->call(this->now(), operatorClient + number, call);
-        this->flushPlatform();
-    });
-    this->queue.add(this->now() + operatorTimeout, [this, number, call = call.call] {
-        RuleOperator &ruleOperator = this->operators[number];
-        if (ruleOperator.isDone() || ruleOperator.lastCall() != call)
-            return;
-        ruleOperator.handle(unavailable(call));
-        this->runOperator(number);
-    });
-}
-
-void VirtualFleet::operatorAnswered(std::size_t number)
-{
-    const RuleOperator &ruleOperator = this->operators[number];
-    if (!ruleOperator.isDone()) {
-        this->runOperator(number);
-    } else if (ruleOperator.state() == RuleOperatorState::Accepted) {
-        this->ruleChanges.push_back(HistoryRuleChange{.version = ruleOperator.acceptedVersion(),
-                                                      .acceptedAt = this->now(),
-                                                      .leaving = leavingServers(ruleOperator.text())});
-    }
-}
-
 // Faults.
 
 void VirtualFleet::apply(const Fault &fault)
 {
-    const bool isPlannedStop = std::holds_alternative<StopProxy>(fault);
-    if (!isPlannedStop) {
-        this->faultCount += 1;
-        for (HistoryStop &stop : this->stops)
-            stop.otherFaults = stop.otherFaults || stop.stoppedAt == TimePoint{0};
-    }
-    std::visit(
-        [this](const auto &content) {
-            using Content = std::decay_t<decltype(content)>;
-            if constexpr (std::is_same_v<Content, KillProxy>) {
-                // A planned stop that a kill cuts short is no planned stop any more.
-                std::erase_if(this->stops, [&](const HistoryStop &stop) {
-                    return stop.proxy == content.proxy && stop.stoppedAt == TimePoint{0};
-                });
-                this->endProxy(content.proxy);
-            } else if constexpr (std::is_same_v<Content, RestartProxy>) {
-                if (!this->proxies[content.proxy].core)
-                    this->startProxy(content.proxy);
-            } else if constexpr (std::is_same_v<Content, PauseProxy>) {
-                this->proxies[content.proxy].paused = this->proxies[content.proxy].core != nullptr;
-            } else if constexpr (std::is_same_v<Content, ResumeProxy>) {
-                this->resumeProxy(content.proxy);
-            } else if constexpr (std::is_same_v<Content, StopProxy>) {
-                if (this->proxies[content.proxy].core) {
-                    this->stops.push_back(HistoryStop{
-                        .proxy = content.proxy, .requestedAt = this->now(), .otherFaults = this->faultCount > 0});
-                    this->deliver(content.proxy, this->proxies[content.proxy].incarnation, StopRequested{});
-                }
-            } else if constexpr (std::is_same_v<Content, LeaveInstance>) {
-                this->platformFake->setInstance(this->now(), this->options.layout.instances[content.proxy].name,
-                                                content.leaving);
-                this->flushPlatform();
-            } else if constexpr (std::is_same_v<Content, KillBackend>) {
-                this->killBackend(content.backend);
-            } else if constexpr (std::is_same_v<Content, RestartBackend>) {
-                this->restartBackend(content.backend);
-            } else if constexpr (std::is_same_v<Content, KillPrimary>) {
-                this->killBackend(this->primaryOf(content.database));
-            } else if constexpr (std::is_same_v<Content, CutPrimaryFromGroup>) {
-                const std::uint32_t primary = this->primaryOf(content.database);
-                for (const BackendId member : this->options.layout.databases[content.database].backends) {
-                    if (member.index != primary)
-                        this->cutLink(this->backendNode(primary), this->backendNode(member.index));
-                }
-            } else if constexpr (std::is_same_v<Content, CutDomain>) {
-                // Every link between a node inside and a node outside; callers keep reaching the proxies.
-                std::vector<std::uint32_t> inside;
-                std::vector<std::uint32_t> outside{this->platformNode()};
-                for (std::uint32_t proxy = 0; proxy < this->proxies.size(); ++proxy) {
-                    const InstanceSettings &settings = this->options.layout.instances[proxy];
-                    (settings.failureDomain == content.failureDomain ? inside : outside)
-                        .push_back(this->proxyNode(proxy));
-                }
-                for (std::uint32_t backend = 0; backend < this->backends.size(); ++backend) {
-                    const BackendSettings &settings = this->options.layout.backends[backend];
-                    (settings.failureDomain == content.failureDomain ? inside : outside)
-                        .push_back(this->backendNode(backend));
-                }
-                for (const std::uint32_t left : inside) {
-                    for (const std::uint32_t right : outside)
-                        this->cutLink(left, right);
-                }
-            } else if constexpr (std::is_same_v<Content, HealLinks>) {
-                this->cuts.clear();
-            } else if constexpr (std::is_same_v<Content, SetPlatformDown>) {
-                this->platformFake->setDown(content.down);
-                this->platformImpaired = content.down;
-            } else if constexpr (std::is_same_v<Content, SetPlatformLatency>) {
-                this->platformFake->setLatency(content.latency);
-                this->platformImpaired = content.latency > platformLatency;
-            } else if constexpr (std::is_same_v<Content, LosePlatformAnswers>) {
-                this->platformFake->loseAnswers(content.count);
-            } else if constexpr (std::is_same_v<Content, SetReplicaLag>) {
-                for (const BackendId member : this->options.layout.databases[content.database].backends)
-                    this->backends[member.index].server->setApplyLag(content.lag);
-            } else if constexpr (std::is_same_v<Content, SilenceConnection>) {
-                this->silenceConnection(content.database);
-            } else if constexpr (std::is_same_v<Content, ChangeRules>) {
-                this->startOperator(content.author, content.text);
-            } else {
-                static_assert(std::is_same_v<Content, RaceOperators>);
-                this->startOperator("first operator", content.firstText);
-                this->startOperator("second operator", content.secondText);
-            }
-        },
-        fault);
-    this->updateOutages();
+    FaultInjector(*this).apply(fault);
 }
 
 void VirtualFleet::healAll()
 {
-    this->cuts.clear();
-    this->platformFake->setDown(false);
-    this->platformFake->setLatency(platformLatency);
-    this->platformImpaired = false;
-    for (std::uint32_t backend = 0; backend < this->backends.size(); ++backend) {
-        this->backends[backend].server->setApplyLag(Duration{0});
-        this->restartBackend(backend);
-    }
-    for (std::uint32_t proxy = 0; proxy < this->proxies.size(); ++proxy) {
-        this->resumeProxy(proxy);
-        if (!this->proxies[proxy].core)
-            this->startProxy(proxy);
-        this->platformFake->setInstance(this->now(), this->options.layout.instances[proxy].name, false);
-    }
-    this->flushPlatform();
-    this->updateOutages();
+    FaultInjector(*this).healAll();
 }
 
 void VirtualFleet::updateOutages()
 {
     for (std::uint32_t proxy = 0; proxy < this->proxies.size(); ++proxy) {
         const ProxyNode &node = this->proxies[proxy];
-        const bool isOut = !node.core || node.paused || this->isCut(proxy, this->callerNode());
-        bool isDisconnected = isOut || this->platformImpaired;
-        for (const auto &[link, count] : this->cuts)
-            isDisconnected = isDisconnected || link.first == proxy || link.second == proxy;
-        this->setOutage(this->openOutages, this->outages, proxy, isOut);
-        this->setOutage(this->openDisconnections, this->disconnections, proxy, isDisconnected);
-    }
-}
-
-void VirtualFleet::setOutage(std::map<std::uint32_t, TimePoint> &open, std::vector<HistoryOutage> &closed,
-                             std::uint32_t proxy, bool isOut)
-{
-    const auto found = open.find(proxy);
-    if (isOut && found == open.end()) {
-        open[proxy] = this->now();
-    } else if (!isOut && found != open.end()) {
-        closed.push_back(HistoryOutage{.proxy = proxy, .from = found->second, .to = this->now()});
-        open.erase(found);
+        const bool isOut = !node.core || node.paused || this->links.isCut(proxy, this->callerNode());
+        const bool isDisconnected = isOut || this->platformSide.isImpaired() || this->links.hasCut(proxy);
+        this->record.observe(this->now(), proxy, isOut, isDisconnected);
     }
 }
 
@@ -935,40 +628,8 @@
                                                   .log = server.log(),
                                                   .workStarts = this->backends[backend].workStarts});
     }
-    history.ruleChanges = this->ruleChanges;
-    history.outages = this->outages;
-    history.disconnections = this->disconnections;
-    for (const auto &[proxy, from] : this->openOutages)
-        history.outages.push_back(HistoryOutage{.proxy = proxy, .from = from, .to = this->now()});
-    for (const auto &[proxy, from] : this->openDisconnections)
-        history.disconnections.push_back(HistoryOutage{.proxy = proxy, .from = from, .to = this->now()});
-    history.stops = this->stops;
-}
-
-std::uint64_t estimateBytes(const PeerMessage &message)
-{
-    constexpr std::uint64_t frame = 16; // frame header, message type and field names of a compact form
-    constexpr std::uint64_t number = 8; // one integer
-    return std::visit(
-        [](const auto &content) -> std::uint64_t {
-            using Content = std::decay_t<decltype(content)>;
-            if constexpr (std::is_same_v<Content, Heartbeat>) {
-                std::uint64_t size = frame + 5 * number;
-                for (const BackendReport &report : content.owned)
-                    size += 8 * number + report.history.starts().size() * 2 * number;
-                return size;
-            } else if constexpr (std::is_same_v<Content, RulesUpdate>) {
-                return frame + number + content.text.size();
-            } else if constexpr (std::is_same_v<Content, ForwardRequest>) {
-                return frame + 8 * number + textBytes(content.request);
-            } else if constexpr (std::is_same_v<Content, ForwardAnswer>) {
-                return frame + 6 * number + content.text.size() + content.value.size() + content.transaction.size()
-                       + content.history.starts().size() * 2 * number;
-            } else {
-                return frame + 3 * number;
-            }
-        },
-        message);
+    history.ruleChanges = this->platformSide.acceptedChanges();
+    this->record.fillHistory(this->now(), history);
 }
 
 } // namespace Jujubekeel
--- a/src/virtualfleet/virtualfleet.h
+++ b/src/virtualfleet/virtualfleet.h
@@ -2,18 +2,19 @@
 
 #include "core/proxycore.h"
 #include "fakes/fakebackend.h"
-#include "fakes/fakeplatform.h"
 #include "virtualfleet/eventqueue.h"
 #include "virtualfleet/fault.h"
+#include "virtualfleet/faultrecord.h"
+#include "virtualfleet/fleetlinks.h"
+#include "virtualfleet/fleetplatform.h"
 #include "virtualfleet/history.h"
-#include "virtualfleet/ruleoperator.h"
+#include "virtualfleet/peermessagesize.h"
 #include "virtualfleet/seededrandom.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -121,7 +122,7 @@
     [[nodiscard]] const ProxyCore *core(std::uint32_t proxy) const { return this->proxies.at(proxy).core.get(); }
     [[nodiscard]] std::uint64_t incarnation(std::uint32_t proxy) const { return this->proxies.at(proxy).incarnation; }
     [[nodiscard]] const FleetLayout &layout() const { return this->options.layout; }
-    [[nodiscard]] const FakePlatform &platform() const { return *this->platformFake; }
+    [[nodiscard]] const FakePlatform &platform() const { return this->platformSide.fake(); }
     [[nodiscard]] const FleetTraffic &traffic() const { return this->trafficCounts; }
     void resetTraffic() { this->trafficCounts = FleetTraffic{}; }
     /// Hash over all proxies and logs.
@@ -130,6 +131,8 @@
     void fillHistory(History &history) const;
 
 private:
+    friend class FaultInjector;
+
     struct ProxyNode
     {
         std::unique_ptr<ProxyCore> core;
@@ -163,11 +166,6 @@
         TimePoint lastToBackend{0};
         TimePoint lastToProxy{0};
     };
-    struct PlatformWait
-    {
-        std::uint32_t proxy = 0;
-        std::uint64_t incarnation = 0;
-    };
 
     // Proxies.
     void startProxy(std::uint32_t proxy);
@@ -179,7 +177,6 @@
     void perform(std::uint32_t proxy, Action &action);
     void sendPeer(std::uint32_t from, std::uint32_t to, PeerMessage message);
     void answerCaller(std::uint32_t proxy, CallerAnswer answer);
-    void callPlatform(std::uint32_t proxy, const PlatformCall &call);
 
     // Backend servers.
     void openConnection(std::uint32_t proxy, const OpenConnection &action);
@@ -191,51 +188,24 @@
     void sendReplication(std::uint32_t from, std::uint32_t to, ReplicationMessage message);
     void killBackend(std::uint32_t backend);
     void restartBackend(std::uint32_t backend);
-    void silenceConnection(std::uint32_t database);
 
-    // Platform and operators.
-    void flushPlatform();
-    void startOperator(const std::string &author, const std::string &text);
-    void runOperator(std::size_t number);
-    void operatorAnswered(std::size_t number);
-
-    [[nodiscard]] bool isCut(std::uint32_t left, std::uint32_t right) const;
-    [[nodiscard]] Duration delay();
-    [[nodiscard]] TimePoint orderedArrival(TimePoint &last);
     void updateOutages();
-    void setOutage(std::map<std::uint32_t, TimePoint> &open, std::vector<HistoryOutage> &closed, std::uint32_t proxy,
-                   bool isOut);
     void notifyCaller(std::uint64_t ticket, CallerOutcome outcome, CallerAnswer answer);
 
     VirtualFleetOptions options;
     SeededRandom random;
     EventQueue queue;
+    FleetLinks links;
+    FleetTraffic trafficCounts;
+    FleetPlatform platformSide;
+    FaultRecord record;
     std::vector<ProxyNode> proxies;
     std::vector<BackendNode> backends;
-    std::unique_ptr<FakePlatform> platformFake;
-    TimePoint platformWakeAt{0};
-    std::map<std::pair<std::uint64_t, std::uint64_t>, PlatformWait> platformWaits; ///< by client and call
-    std::map<std::uint64_t, Connection> connections;                               ///< by session
-    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> cuts;         ///< links, with number of cuts
-    std::map<std::pair<std::uint32_t, std::uint32_t>, TimePoint> lastArrivals;     ///< ordered messages between nodes
-    std::vector<RuleOperator> operators;
-    std::vector<HistoryRuleChange> ruleChanges;
-    std::vector<HistoryOutage> outages;
-    std::vector<HistoryOutage> disconnections;
-    std::map<std::uint32_t, TimePoint> openOutages; ///< by proxy: start
-    std::map<std::uint32_t, TimePoint> openDisconnections;
-    std::vector<HistoryStop> stops;
+    std::map<std::uint64_t, Connection> connections; ///< by session
     std::uint64_t nextSession = 1;
-    std::uint64_t nextOperatorCall = 1;
-    std::uint32_t faultCount = 0;
-    bool platformImpaired = false; ///< down or slow
-    FleetTraffic trafficCounts;
     std::function<void(const CallerEvent &)> callerHandler;
     std::function<void(const WireEvent &)> wireHandler;
     std::function<void(std::uint32_t, const WriteLog &)> logHandler;
 };
 
-/// Estimated size of a peer message on the wire: the lengths of its texts and eight bytes for each number.
-[[nodiscard]] std::uint64_t estimateBytes(const PeerMessage &message);
-
 } // namespace Jujubekeel
