Take coordination of databases from the candidate table

Cause: promotions hashed the set of live instances in every tick and ranked all instances for all databases after each change. Ruled out: nothing. Change: the coordinator comes from CandidateTable; bestInstance is gone. Conclusion: one place ranks instances.

--- a/src/authority/promotionsystem.cpp
+++ b/src/authority/promotionsystem.cpp
@@ -3,7 +3,6 @@
 #include "authority/promotionrules.h"
 #include "authority/writeauthoritypolicy.h"
 #include "core/sendtopeer.h"
-#include "core/statehasher.h"
 #include "core/world.h"
 #include "membership/rendezvous.h"
 
@@ -142,20 +141,13 @@
 
 void PromotionSystem::updateCoordination(World &world)
 {
-    // Rankings depend on the set of live instances alone, so they are computed only when it changes.
-    StateHasher hasher;
-    for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
-        const InstanceRow &row = world.instances[index];
-        if (row.live && !row.leaving)
-            hasher.add(std::uint64_t{index});
-    }
-    if (this->liveSetKnown && hasher.value() == this->liveSet)
+    world.candidates.refresh(world);
+    if (this->seenCandidates == world.candidates.version())
         return;
-    this->liveSetKnown = true;
-    this->liveSet = hasher.value();
+    this->seenCandidates = world.candidates.version();
     for (std::uint32_t index = 0; index < world.databases.size(); ++index) {
         PromotionState &promotion = world.databases[index].promotion;
-        const bool coordinates = bestInstance(world, world.layout.databases[index].name) == world.self;
+        const bool coordinates = world.candidates.coordinator({.index = index, .generation = 0}) == world.self;
         if (coordinates && !promotion.coordinates)
             promotion.coordinatesSince = world.now;
         promotion.coordinates = coordinates;
--- a/src/authority/promotionsystem.h
+++ b/src/authority/promotionsystem.h
@@ -57,8 +57,7 @@
     PlannedSwitchover switchover;
     PromotionClaim claim;
     LeaseTakeover lease;
-    std::uint64_t liveSet = 0; ///< hash over the instances that rankings count
-    bool liveSetKnown = false;
+    std::uint64_t seenCandidates = 0; ///< CandidateTable::version that the coordination was worked out for
 };
 
 } // namespace Jujubekeel
--- a/src/membership/rendezvous.cpp
+++ b/src/membership/rendezvous.cpp
@@ -73,10 +73,4 @@
     return ranked;
 }
 
-InstanceId bestInstance(const World &world, std::string_view key)
-{
-    const std::vector<InstanceId> ranked = rankInstances(world, key, {});
-    return ranked.empty() ? InstanceId{} : ranked.front();
-}
-
 } // namespace Jujubekeel
--- a/src/membership/rendezvous.h
+++ b/src/membership/rendezvous.h
@@ -24,7 +24,4 @@
 [[nodiscard]] std::vector<InstanceId> rankInstances(const World &world, std::string_view key,
                                                     std::string_view failureDomain);
 
-/// The best live instance for a key, or an invalid id if there is none.
-[[nodiscard]] InstanceId bestInstance(const World &world, std::string_view key);
-
 } // namespace Jujubekeel
