Show for each guarantee that a disabled line fails a test

Cause: the fault matrix shows that the tests pass, not that they would fail without the lines that keep the guarantees. A read that is always confirmed was known to go unnoticed by the fleet's random tests. Disabled, one at a time (paths below src): Router::routeRead markKnown; prepareSession markKnown; readAnswered NotReached; GroupConfirmationPolicy::isReadConfirmed; completeConfirmed written; majority of the fence, fenced servers only and highest position in the promotion step; startOutside open transaction; admitStatement running statement; answered serial number and close; attemptLost mayHaveRun and lookup; expire doubt; loseStatement OutcomeUnknown; start request key; mayBeSentAgain notRepeatable; keyNotFound term; Router::refusesNewWork; chooseReplica leaving; DrainSystem::tick idle; prepare stopping; RuleDistributionSystem adopt version and noticeVersion query. Ruled out: a gap of the confirmation tests for isReadConfirmed; three tests of authoritytest fail with it disabled, but none sent a request through a proxy. The sources of the decision library are unchanged. The tests of other modules, the pairs, the random faults and the process tests were not run with a line disabled.

--- a/tests/authority/promotionsystemtest.cpp
+++ b/tests/authority/promotionsystemtest.cpp
@@ -239,6 +239,54 @@
     EXPECT_TRUE(fleet.runUntil(seconds(6), [&] { return fleet.knownPrimary(0) > 0; }));
 }
 
+// Guards against a promoter that loses a majority while it fences: the one server that still hears it must not be promoted,
+// because a confirmed write may be on the other.
+TEST(PromotionSystem, FenceWithoutAMajorityPromotesNothing)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    const std::uint32_t promoter = fleet.coordinator();
+    fleet.kill(0);
+    ASSERT_TRUE(fleet.runUntil(
+        seconds(2), [&] { return fleet.world(promoter).databases.front().promotion.step == PromotionStep::Fencing; }));
+    ASSERT_EQ(fleet.status(1).fencedTerm, 1U);
+    fleet.isolate({"i" + std::to_string(promoter), "b1"});
+    fleet.run(seconds(2));
+    EXPECT_EQ(fleet.status(1).fencedTerm, 2U) << "the fence did not arrive";
+    EXPECT_EQ(fleet.status(1).role, BackendRole::Replica) << "promoted by one of three servers";
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_finished_total"), 0U);
+}
+
+// Guards against the loss of a confirmed write by promoting a replica that is behind the one that confirmed it.
+TEST(PromotionSystem, ReplicaThatHoldsTheConfirmedWriteIsPromoted)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        fleet.input(index,
+                    PeerMessageArrived{.from = InstanceId{.index = (index + 1) % 3, .generation = 0},
+                                       .message = RulesUpdate{.version = 1, .text = "no-repeat db pay.* # test\n"}});
+    }
+    fleet.run(milliseconds(100));
+
+    // Only b2 receives the write.
+    fleet.cut("b0", "b1");
+    fleet.input(0, CallerRequestArrived{.request = {.ticket = 1,
+                                                    .database = "db",
+                                                    .caller = "caller",
+                                                    .operation = "note.add",
+                                                    .kind = RequestKind::Write,
+                                                    .statement = "append k 1",
+                                                    .timeout = seconds(1)}});
+    ASSERT_TRUE(fleet.runUntil(seconds(1), [&] { return !fleet.answers().empty(); }));
+    ASSERT_EQ(fleet.answers().front().code, ResultCode::Ok) << fleet.answers().front().text;
+    ASSERT_LT(fleet.status(1).received.position, fleet.status(2).received.position);
+    fleet.kill(0);
+    ASSERT_TRUE(fleet.runUntil(seconds(3), [&] { return fleet.knownPrimary(0) > 0; }));
+    EXPECT_EQ(fleet.knownPrimary(0), 2) << "promoted the server that lacks the confirmed write";
+    EXPECT_EQ(fleet.server(2).log().size(), 1U);
+}
+
 // Guards against a stray fence of a promoter that died: it stops the primary, and the group must get a new term.
 TEST(PromotionSystem, LeftFenceIsFollowedByANewTerm)
 {
