Give proxies different clocks and deliver messages late in the virtual fleet

Cause: docs/fault-matrix.md listed clocks with different origins and messages that arrive after a cut as not proved. Ruled out: random delays of single messages; a connection keeps its order, so what a cut holds back arrives together when it heals. Change: each proxy's clock has its own offset, another one after a restart. A cut link keeps up to 32 messages between proxies or backend servers and delivers them when it is healed.

--- a/src/virtualfleet/faultinjector.cpp
+++ b/src/virtualfleet/faultinjector.cpp
@@ -54,6 +54,7 @@
                 this->cutDomain(content.failureDomain);
             } else if constexpr (std::is_same_v<Content, HealLinks>) {
                 this->fleet.links.healAll();
+                this->fleet.deliverHeld();
             } else if constexpr (std::is_same_v<Content, SetPlatformDown>) {
                 this->fleet.platformSide.setDown(content.down);
             } else if constexpr (std::is_same_v<Content, SetPlatformLatency>) {
@@ -80,6 +81,7 @@
 void FaultInjector::healAll()
 {
     this->fleet.links.healAll();
+    this->fleet.deliverHeld();
     this->fleet.platformSide.restore();
     for (std::uint32_t backend = 0; backend < this->fleet.backends.size(); ++backend) {
         this->fleet.backends[backend].server->setApplyLag(Duration{0});
--- a/src/virtualfleet/fleetlinks.cpp
+++ b/src/virtualfleet/fleetlinks.cpp
@@ -3,11 +3,16 @@
 #include "virtualfleet/seededrandom.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace Jujubekeel {
 
 namespace {
 
+/// Messages that a cut link keeps.
+constexpr std::size_t heldLimit = 32;
+
 std::pair<std::uint32_t, std::uint32_t> linkOf(std::uint32_t left, std::uint32_t right)
 {
     return {std::min(left, right), std::max(left, right)};
@@ -31,13 +36,38 @@
     if (found == this->cuts.end())
         return;
     found->second -= 1;
-    if (found->second == 0)
+    if (found->second == 0) {
         this->cuts.erase(found);
+        this->release(linkOf(left, right));
+    }
 }
 
 void FleetLinks::healAll()
 {
     this->cuts.clear();
+    while (!this->held.empty())
+        this->release(this->held.begin()->first);
+}
+
+void FleetLinks::hold(std::uint32_t left, std::uint32_t right, std::function<void()> deliver)
+{
+    std::vector<std::function<void()>> &messages = this->held[linkOf(left, right)];
+    if (messages.size() < heldLimit)
+        messages.push_back(std::move(deliver));
+}
+
+void FleetLinks::release(std::pair<std::uint32_t, std::uint32_t> link)
+{
+    const auto found = this->held.find(link);
+    if (found == this->held.end())
+        return;
+    std::ranges::move(found->second, std::back_inserter(this->released));
+    this->held.erase(found);
+}
+
+std::vector<std::function<void()>> FleetLinks::takeReleased()
+{
+    return std::exchange(this->released, {});
 }
 
 bool FleetLinks::isCut(std::uint32_t left, std::uint32_t right) const
--- a/src/virtualfleet/fleetlinks.h
+++ b/src/virtualfleet/fleetlinks.h
@@ -3,8 +3,10 @@
 #include "core/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace Jujubekeel {
 
@@ -26,6 +28,12 @@
     /// Whether any link of a node is cut.
     [[nodiscard]] bool hasCut(std::uint32_t node) const;
 
+    /// Keeps a message for a cut link, as the buffers of a connection do; it is delivered late, after the link is healed.
+    /// A link keeps a limited number and drops the rest.
+    void hold(std::uint32_t left, std::uint32_t right, std::function<void()> deliver);
+    /// Deliveries of links that have been healed since the last call.
+    [[nodiscard]] std::vector<std::function<void()>> takeReleased();
+
     /// Time that the next message takes.
     [[nodiscard]] Duration delay();
     /// Arrival of a message sent now that must not overtake the one that arrives at \a last, which is updated.
@@ -34,10 +42,14 @@
     [[nodiscard]] TimePoint orderedArrival(TimePoint now, std::uint32_t from, std::uint32_t to);
 
 private:
+    void release(std::pair<std::uint32_t, std::uint32_t> link);
+
     Duration latency;
     Duration jitter;
     SeededRandom &random;
-    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> cuts;     ///< links, with number of cuts
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> cuts; ///< links, with number of cuts
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<std::function<void()>>> held; ///< by cut link
+    std::vector<std::function<void()>> released;
     std::map<std::pair<std::uint32_t, std::uint32_t>, TimePoint> lastArrivals; ///< ordered messages between nodes
 };
 
--- a/src/virtualfleet/virtualfleet.cpp
+++ b/src/virtualfleet/virtualfleet.cpp
@@ -20,6 +20,11 @@
     return operation == BackendOperation::Execute || operation == BackendOperation::Begin;
 }
 
+/// Clocks of proxies differ by much more than any time in a run, and each restart gets another one, as on a replaced
+/// machine: a time of another instance that is taken for an own one then shows.
+constexpr Duration clockSpread = std::chrono::seconds(997);
+constexpr Duration restartSpread = std::chrono::seconds(113);
+
 } // namespace
 
 VirtualFleet::VirtualFleet(VirtualFleetOptions fleetOptions)
@@ -92,6 +97,13 @@
 void VirtualFleet::healLink(std::uint32_t left, std::uint32_t right)
 {
     this->links.heal(left, right);
+    this->deliverHeld();
+}
+
+void VirtualFleet::deliverHeld()
+{
+    for (const std::function<void()> &deliver : this->links.takeReleased())
+        deliver();
 }
 
 // Proxies.
@@ -169,12 +181,17 @@
         this->step(proxy, input);
 }
 
+Duration VirtualFleet::clockOffset(std::uint32_t proxy) const
+{
+    return proxy * clockSpread + static_cast<std::int64_t>(this->proxies[proxy].incarnation) * restartSpread;
+}
+
 void VirtualFleet::step(std::uint32_t proxy, const Input &input)
 {
     if (!this->proxies[proxy].core)
         return;
     Actions actions;
-    this->proxies[proxy].core->step(this->now(), input, actions);
+    this->proxies[proxy].core->step(this->now() + this->clockOffset(proxy), input, actions);
     for (Action &action : actions)
         this->perform(proxy, action);
 }
@@ -221,9 +238,16 @@
 {
     this->trafficCounts.peerMessages += 1;
     this->trafficCounts.peerBytes += estimateBytes(message);
-    if (this->links.isCut(from, to) || !this->proxies[to].core)
+    if (!this->proxies[to].core)
         return;
     const std::uint64_t receiver = this->proxies[to].incarnation;
+    if (this->links.isCut(from, to)) {
+        this->links.hold(from, to, [this, from, to, receiver, content = std::move(message)] {
+            this->deliver(to, receiver,
+                          PeerMessageArrived{.from = InstanceId{.index = from, .generation = 0}, .message = content});
+        });
+        return;
+    }
     this->queue.add(this->links.orderedArrival(this->now(), from, to), [this, from, to, receiver,
                                                                         content = std::move(message)] {
         if (!this->links.isCut(from, to)) {
@@ -503,17 +527,20 @@
 {
     const std::uint32_t fromNode = this->backendNode(from);
     const std::uint32_t toNode = this->backendNode(to);
-    if (this->links.isCut(fromNode, toNode) || !this->backends[to].up)
+    if (!this->backends[to].up)
         return;
-    this->queue.add(
-        this->links.orderedArrival(this->now(), fromNode, toNode),
-        [this, from, to, fromNode, toNode, starts = this->backends[to].starts, content = std::move(message)] {
-            BackendNode &target = this->backends[to];
-            if (this->links.isCut(fromNode, toNode) || !target.up || target.starts != starts)
-                return;
-            target.server->replicate(this->now(), this->options.layout.backends[from].name, content);
-            this->flushBackend(to);
-        });
+    auto deliver = [this, from, to, fromNode, toNode, starts = this->backends[to].starts,
+                    content = std::move(message)] {
+        BackendNode &target = this->backends[to];
+        if (this->links.isCut(fromNode, toNode) || !target.up || target.starts != starts)
+            return;
+        target.server->replicate(this->now(), this->options.layout.backends[from].name, content);
+        this->flushBackend(to);
+    };
+    if (this->links.isCut(fromNode, toNode))
+        this->links.hold(fromNode, toNode, std::move(deliver));
+    else
+        this->queue.add(this->links.orderedArrival(this->now(), fromNode, toNode), std::move(deliver));
 }
 
 void VirtualFleet::killBackend(std::uint32_t backend)
--- a/src/virtualfleet/virtualfleet.h
+++ b/src/virtualfleet/virtualfleet.h
@@ -173,6 +173,10 @@
     void resumeProxy(std::uint32_t proxy);
     void scheduleTick(std::uint32_t proxy, std::uint64_t incarnation);
     void deliver(std::uint32_t proxy, std::uint64_t incarnation, Input input);
+    /// Delivers what healed links have kept.
+    void deliverHeld();
+    /// Difference between a proxy's clock and virtual time.
+    [[nodiscard]] Duration clockOffset(std::uint32_t proxy) const;
     void step(std::uint32_t proxy, const Input &input);
     void perform(std::uint32_t proxy, Action &action);
     void sendPeer(std::uint32_t from, std::uint32_t to, PeerMessage message);
