--- a/src/authority/promotionsystem.cpp
+++ b/src/authority/promotionsystem.cpp
@@ -396,6 +396,15 @@
     PromotionState &promotion = row.promotion;
     const BackendId primary = promotion.candidate;
     const PromotionNotice notice{.database = database, .primary = primary, .start = status.history.starts().back()};
+
+    // Time since the earlier primary was last known to be confirmed.
+    const TimePoint confirmed = row.primary.isValid() ? world.at(row.primary).currentAsOf : TimePoint{0};
+    if (confirmed > TimePoint{0}) {
+        const auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(world.now - confirmed).count();
+        world.counters.set("jujubekeel_failover_gap_milliseconds{database=\"" + world.layout.at(database).name + "\"}",
+                           static_cast<std::uint64_t>(gap));
+        world.counters.add("jujubekeel_failover_gap_milliseconds_total", static_cast<std::uint64_t>(gap));
+    }
     this->monitor.observePromotion(world, notice);
     sendToLivePeers(world, notice, actions);
 
--- a/src/net/proxyshell.cpp
+++ b/src/net/proxyshell.cpp
@@ -185,6 +185,12 @@
         values["jujubekeel_requests_in_flight"] = std::to_string(world.entries.size());
         values["jujubekeel_executions"] = std::to_string(world.executions.size());
         values["jujubekeel_transactions"] = std::to_string(world.transactions.size());
+        for (const BackendId id : world.engaged) {
+            const std::string label = "{backend_server=\"" + world.layout.at(id).name + "\"}";
+            values["jujubekeel_slots_in_use" + label] = std::to_string(world.at(id).slotsInUse);
+            values["jujubekeel_work_connections" + label] = std::to_string(world.at(id).openConnections);
+            values["jujubekeel_queue_length" + label] = std::to_string(world.workAt(id).queue.size());
+        }
     });
     const auto figures = this->core->stepFigures();
     for (std::size_t index = 0; index < figures.size(); ++index) {
