Bring rules back soon after an outage, and end stops and leavings in time

Ruled out: a shorter timeout of platform calls; with a platform slower than that no answer would ever count. The age of a rule in messages; half a second of grace is enough. Change: watches wait 2 s, an overdue one gets another beside it, and late answers count. Grace of a leaving primary 0.5 s; callers wait for the switchover anyway. Unused transactions are rolled back after 3 s during a planned stop. The checker ends a leaving rule when the next version is first seen in force.

--- a/src/core/proxyoptions.h
+++ b/src/core/proxyoptions.h
@@ -74,10 +74,11 @@
 
 struct RuleOptions
 {
-    std::uint32_t watchersPerDomain = 2;                  ///< instances of a failure domain that watch the rules
-    Duration watchWait = std::chrono::seconds(10);        ///< longest wait of one watch
-    Duration retryDelay = std::chrono::milliseconds(500); ///< after an unanswered call
-    Duration callTimeout = std::chrono::seconds(2);       ///< answer of the platform, beyond the wait of a watch
+    std::uint32_t watchersPerDomain = 2;          ///< instances of a failure domain that watch the rules
+    Duration watchWait = std::chrono::seconds(2); ///< longest wait of one watch; a lost one is noticed soon after
+    Duration retryDelay = std::chrono::milliseconds(500);   ///< after an unanswered call
+    Duration callTimeout = std::chrono::seconds(2);         ///< answer of the platform, beyond the wait of a watch
+    Duration overdueAfter = std::chrono::milliseconds(500); ///< beyond the wait: another watch is sent too
 };
 
 struct SessionOptions
@@ -87,9 +88,10 @@
 
 struct DrainOptions
 {
-    Duration stopGrace = std::chrono::seconds(20);        ///< longest wait for requests in flight at a stop
-    Duration leavingGrace = std::chrono::seconds(2);      ///< a leaving primary takes new work at most this long
-    Duration plannedChangeWait = std::chrono::seconds(3); ///< longest pause of writes in a planned change of primary
+    Duration stopGrace = std::chrono::seconds(20);          ///< longest wait for requests in flight at a stop
+    Duration leavingGrace = std::chrono::milliseconds(500); ///< a leaving primary takes new work at most this long
+    Duration stopTransactionIdle = std::chrono::seconds(3); ///< as transactionIdle, during a planned stop
+    Duration plannedChangeWait = std::chrono::seconds(3);   ///< longest pause of writes in a planned change of primary
 };
 
 struct TraceOptions
--- a/src/requests/executionsystem.cpp
+++ b/src/requests/executionsystem.cpp
@@ -493,6 +493,9 @@
 
     // Connections: unanswered requests, unused transactions, probes of idle ones.
     const Duration probeAfter = world.options.ownership.idleProbe;
+    const Duration idleLimit =
+        world.stopping ? std::min(world.options.admission.transactionIdle, world.options.drain.stopTransactionIdle)
+                       : world.options.admission.transactionIdle;
     std::vector<ConnectionId> overdue;
     std::vector<ConnectionId> surplus;
     std::vector<ConnectionId> unprobed;
@@ -504,8 +507,8 @@
                 overdue.push_back(id);
         } else if (row.transaction.isValid()) {
             const TransactionRow &transaction = world.transactions.at(row.transaction);
-            if (!transaction.running.isValid()
-                && world.now - transaction.lastUsed > world.options.admission.transactionIdle)
+            const Duration idle = world.now - transaction.lastUsed;
+            if (!transaction.running.isValid() && idle > idleLimit)
                 surplus.push_back(id);
         } else if (world.now - row.since > probeAfter) {
             unprobed.push_back(id);
--- a/src/rules/ruledistributionsystem.cpp
+++ b/src/rules/ruledistributionsystem.cpp
@@ -15,6 +15,9 @@
 /// Two queries to peers are at least this far apart; heartbeats of several peers announce a version at the same time.
 constexpr Duration queryPause = std::chrono::milliseconds(100);
 
+/// Calls whose late answers still count.
+constexpr std::size_t maxCallsWithoutAnswer = 8;
+
 bool isWatcher(const World &world)
 {
     const std::string &domain = world.layout.at(world.self).failureDomain;
@@ -44,9 +47,10 @@
 
 void RuleDistributionSystem::handle(World &world, const PlatformAnswer &answer, Actions &actions)
 {
-    if (this->watchCall == 0 || answer.call != this->watchCall)
+    const auto found = std::ranges::find(this->calls, answer.call);
+    if (found == this->calls.end())
         return;
-    this->watchCall = 0;
+    this->calls.erase(found);
 
     // Without an answer, or before the first rules exist, asks again after a pause.
     if (answer.code == PlatformStatusCode::Unavailable || answer.code == PlatformStatusCode::NotFound) {
@@ -90,11 +94,11 @@
 
 void RuleDistributionSystem::tick(World &world, Actions &actions)
 {
-    // An answer that does not come counts as lost.
+    // A call that is overdue may be lost, or the platform may be slow: another is sent, and the late answer still counts.
+    // Waiting for one call alone kept rules away for 10 s after an outage of less than a second.
     const RuleOptions &options = world.options.rules;
-    if (this->watchCall != 0 && world.now - this->watchCallSent > options.watchWait + options.callTimeout)
-        this->watchCall = 0;
-    if (this->watchCall != 0 || world.now < this->nextWatch)
+    const bool overdue = world.now - this->lastCallSent > options.watchWait + options.overdueAfter;
+    if ((!this->calls.empty() && !overdue) || world.now < this->nextWatch)
         return;
 
     // A proxy without rules reads them itself, also if it is not a watcher.
@@ -104,10 +108,12 @@
     }
     if (world.rules && !this->watcher)
         return;
-    this->watchCall = world.takeNumber();
-    this->watchCallSent = world.now;
+    this->calls.push_back(world.takeNumber());
+    if (this->calls.size() > maxCallsWithoutAnswer)
+        this->calls.pop_front();
+    this->lastCallSent = world.now;
     const PlatformOperation operation = world.rules ? PlatformOperation::Watch : PlatformOperation::Get;
-    actions.emplace_back(CallPlatform{.call = {.call = this->watchCall,
+    actions.emplace_back(CallPlatform{.call = {.call = this->calls.back(),
                                                .operation = operation,
                                                .key = RulesObject::key(world.layout.user),
                                                .expectedVersion = versionInForce(world),
--- a/src/rules/ruledistributionsystem.h
+++ b/src/rules/ruledistributionsystem.h
@@ -4,6 +4,11 @@
 #include "core/id.h"
 #include "core/peermessages.h"
 #include "core/platformmessages.h"
+#include "core/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <string>
 
 namespace Jujubekeel {
 
@@ -25,8 +30,8 @@
 private:
     void adopt(World &world, std::uint64_t version, const std::string &text, Actions &actions);
 
-    std::uint64_t watchCall = 0; ///< call under way; 0: none
-    TimePoint watchCallSent{0};
+    std::deque<std::uint64_t> calls; ///< without answer, oldest first; a late answer still counts
+    TimePoint lastCallSent{0};
     TimePoint nextWatch{0};
     TimePoint lastQuery{0};
     std::uint64_t rankedVersion = 0; ///< CandidateTable::version that `watcher` was found for
--- a/src/settings/settingsloader.cpp
+++ b/src/settings/settingsloader.cpp
@@ -317,6 +317,7 @@
     ruleSection.read("watch_wait_ms", rules.watchWait, 100, 600000);
     ruleSection.read("retry_delay_ms", rules.retryDelay, 10, 60000);
     ruleSection.read("call_timeout_ms", rules.callTimeout, 10, 60000);
+    ruleSection.read("overdue_after_ms", rules.overdueAfter, 10, 60000);
     ruleSection.reportUnknownKeys();
 }
 
@@ -326,6 +327,7 @@
     SettingsSection section = files.holder("drain").section("drain");
     section.read("stop_grace_ms", drain.stopGrace, 0, dayMs);
     section.read("leaving_grace_ms", drain.leavingGrace, 0, 600000);
+    section.read("stop_transaction_idle_ms", drain.stopTransactionIdle, 0, 600000);
     section.read("planned_change_wait_ms", drain.plannedChangeWait, 100, 600000);
     section.reportUnknownKeys();
 
--- a/src/virtualfleet/historychecker.cpp
+++ b/src/virtualfleet/historychecker.cpp
@@ -393,9 +393,16 @@
 {
     for (std::size_t index = 0; index < this->history.ruleChanges.size(); ++index) {
         const HistoryRuleChange &change = this->history.ruleChanges[index];
-        const TimePoint replacedAt = index + 1 < this->history.ruleChanges.size()
-                                         ? this->history.ruleChanges[index + 1].acceptedAt
-                                         : this->history.endedAt;
+        // The next version may be in force before its operator learns of it, if the answer to the update was lost.
+        TimePoint replacedAt = this->history.endedAt;
+        if (index + 1 < this->history.ruleChanges.size()) {
+            const HistoryRuleChange &next = this->history.ruleChanges[index + 1];
+            replacedAt = next.acceptedAt;
+            for (const HistoryRuleUse &use : this->history.ruleUses) {
+                if (use.version >= next.version)
+                    replacedAt = std::min(replacedAt, use.seenAt);
+            }
+        }
         for (const HistoryBackend &backend : this->history.backends) {
             if (std::ranges::find(change.leaving, backend.name) == change.leaving.end())
                 continue;
