Give the measuring programs the command line of the other programs

Cause: jujubekeel-bench and jujubekeel-capacity ended with 255 on a usage error and aborted on a number that was none; the other programs end with 2. Ruled out: catching docopt's errors in each program; CommandLine already does. Change: CommandLine is a small library of its own, used by the fakes and by both measuring programs. Conclusion: one set of exit codes.

--- a/src/programs/fake-shared/commandline.cpp
+++ b/src/programs/commandline/commandline.cpp
@@ -1,4 +1,4 @@
-#include "programs/fake-shared/commandline.h"
+#include "programs/commandline/commandline.h"
 
 #include <docopt/docopt.h>
 
@@ -17,6 +17,8 @@
                 this->values[name] = {value.asString()};
             else if (value.isStringList())
                 this->values[name] = value.asStringList();
+            else if (value.isBool() && value.asBool())
+                this->values[name] = {"true"};
         }
     } catch (const docopt::DocoptExitHelp &) {
         std::cout << usage;
@@ -29,6 +31,11 @@
     }
 }
 
+bool CommandLine::isGiven(const std::string &name) const
+{
+    return this->values.contains(name);
+}
+
 std::string CommandLine::text(const std::string &name) const
 {
     const auto found = this->values.find(name);
--- a/src/programs/fake-shared/commandline.h
+++ b/src/programs/commandline/commandline.h
@@ -18,6 +18,8 @@
     /// Prints help or version and ends the process with 0 if they are asked for; ends it with 2 on a usage error.
     CommandLine(const std::string &usage, const std::string &version, int argumentCount, char **arguments);
 
+    /// True if the command or switch was given.
+    [[nodiscard]] bool isGiven(const std::string &name) const;
     /// Empty if the option was not given and has no default.
     [[nodiscard]] std::string text(const std::string &name) const;
     [[nodiscard]] std::vector<std::string> texts(const std::string &name) const;
--- a/src/programs/fake-backend/main.cpp
+++ b/src/programs/fake-backend/main.cpp
@@ -1,6 +1,6 @@
+#include "programs/commandline/commandline.h"
 #include "programs/fake-backend/backenddriver.h"
 #include "programs/fake-backend/backendservice.h"
-#include "programs/fake-shared/commandline.h"
 #include "programs/fake-shared/fakehttpserver.h"
 #include "programs/fake-shared/jsonlog.h"
 #include "programs/fake-shared/stopsignal.h"
--- a/src/programs/fake-platform/main.cpp
+++ b/src/programs/fake-platform/main.cpp
@@ -1,6 +1,6 @@
+#include "programs/commandline/commandline.h"
 #include "programs/fake-platform/platformdriver.h"
 #include "programs/fake-platform/platformservice.h"
-#include "programs/fake-shared/commandline.h"
 #include "programs/fake-shared/fakehttpserver.h"
 #include "programs/fake-shared/jsonlog.h"
 #include "programs/fake-shared/stopsignal.h"
--- a/src/programs/jujubekeel-bench/main.cpp
+++ b/src/programs/jujubekeel-bench/main.cpp
@@ -1,6 +1,5 @@
 #include "benchtable.h"
-
-#include <docopt/docopt.h>
+#include "programs/commandline/commandline.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -21,7 +20,7 @@
   jujubekeel-bench [--seed=NUMBER] [--seeds=COUNT] [--user=NAME] [--scenario=NAME]
   jujubekeel-bench trace FAULT STEP [--seed=NUMBER] [--user=NAME] [--load=SECONDS]
   jujubekeel-bench trace-random COUNT [--seed=NUMBER] [--user=NAME] [--load=SECONDS]
-  jujubekeel-bench (-h | --help)
+  jujubekeel-bench (-h | --help | --version)
 
 The command trace runs one fault of docs/fault-matrix.md, for example "trace ProxyKilled Sent", and prints the log lines
 of the proxies and the violations. The command trace-random does the same for a seed of the scenario "random" with COUNT
@@ -34,8 +33,13 @@
   --scenario=NAME  healthy, faults, failover, authority, primary-only, capacity, random or all [default: all].
   --load=SECONDS   Length of a traced load [default: 9].
   -h --help        Show this text.
+  --version        Show the version.
 )";
 
+constexpr std::uint32_t maxNumber = 1'000'000;
+constexpr std::uint32_t maxFaults = 10;
+constexpr std::uint32_t maxLoadSeconds = 3600;
+
 constexpr Duration killedGapTarget = std::chrono::seconds(3);
 constexpr Duration killedMedianTarget = std::chrono::seconds(1);
 constexpr Duration cutOffGapTarget = std::chrono::seconds(10);
@@ -151,27 +155,27 @@
 }
 
 /// Runs one fault, or the random ones of a seed, and prints what the proxies logged.
-int runTrace(const std::map<std::string, docopt::value> &arguments)
+int runTrace(const CommandLine &arguments)
 {
-    const auto seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
+    const auto seed = std::uint64_t{arguments.number("--seed", 0, maxNumber)};
     std::vector<ScenarioFault> faults;
-    if (arguments.at("trace").asBool()) {
-        const auto fault = findByName(allFaultCases(), arguments.at("FAULT").asString(), faultCaseName);
-        const auto step = findByName(allFaultSteps(), arguments.at("STEP").asString(), faultStepName);
+    if (arguments.isGiven("trace")) {
+        const auto fault = findByName(allFaultCases(), arguments.text("FAULT"), faultCaseName);
+        const auto step = findByName(allFaultSteps(), arguments.text("STEP"), faultStepName);
         if (!fault || !step) {
             std::fprintf(stderr, "jujubekeel-bench: no such fault or step; docs/fault-matrix.md lists them\n");
             return 2;
         }
         faults = {{.fault = *fault, .step = *step}};
     } else {
-        faults = drawFaults(seed, static_cast<std::size_t>(arguments.at("COUNT").asLong()));
+        faults = drawFaults(seed, arguments.number("COUNT", 1, maxFaults));
     }
     ScenarioOptions options;
-    const bool isAssociation = arguments.at("--user").asString() != fleetUserName(FleetUser::Hjolasmidja);
+    const bool isAssociation = arguments.text("--user") != fleetUserName(FleetUser::Hjolasmidja);
     options.user = isAssociation ? FleetUser::Association : FleetUser::Hjolasmidja;
     options.seed = seed;
     options.faults = faults;
-    options.load = std::chrono::seconds(arguments.at("--load").asLong());
+    options.load = std::chrono::seconds(arguments.number("--load", 1, maxLoadSeconds));
     options.trace = [](TimePoint at, const std::string &line) {
         std::printf("%.3f %s\n", static_cast<double>(at.count()) / 1e6, line.c_str());
     };
@@ -183,16 +187,15 @@
     return result.violations.empty() ? 0 : 1;
 }
 
-int runBench(int argc, const char **argv)
+int runBench(int argc, char **argv)
 {
-    const std::map<std::string, docopt::value> arguments =
-        docopt::docopt(usage, std::vector<std::string>(argv + 1, argv + argc), true, "jujubekeel-bench");
-    if (arguments.at("trace").asBool() || arguments.at("trace-random").asBool())
+    const CommandLine arguments(usage, "jujubekeel-bench 0.1.0", argc, argv);
+    if (arguments.isGiven("trace") || arguments.isGiven("trace-random"))
         return runTrace(arguments);
-    const long seed = arguments.at("--seed").asLong();
-    const long seeds = arguments.at("--seeds").asLong();
-    const std::string user = arguments.at("--user").asString();
-    const std::string scenario = arguments.at("--scenario").asString();
+    const std::uint32_t seed = arguments.number("--seed", 0, maxNumber);
+    const std::uint32_t seeds = arguments.number("--seeds", 1, maxNumber);
+    const std::string user = arguments.text("--user");
+    const std::string scenario = arguments.text("--scenario");
 
     // Users and cases.
     std::vector<BenchCase> cases;
@@ -202,12 +205,12 @@
                 cases.push_back(std::move(entry));
         }
     }
-    if (cases.empty() || seed < 0 || seeds < 1) {
-        std::fprintf(stderr, "jujubekeel-bench: no such user or scenario, or a seed out of range; see --help\n");
+    if (cases.empty()) {
+        std::fprintf(stderr, "jujubekeel-bench: no such user or scenario; see --help\n");
         return 2;
     }
 
-    BenchTable table(static_cast<std::uint64_t>(seed), static_cast<std::uint64_t>(seeds));
+    BenchTable table(seed, seeds);
     table.printHeader();
     for (const BenchCase &entry : cases)
         table.run(entry);
@@ -220,7 +223,7 @@
 
 } // namespace Jujubekeel
 
-int main(int argc, const char **argv)
+int main(int argc, char **argv)
 {
     return Jujubekeel::runBench(argc, argv);
 }
--- a/src/programs/jujubekeel-capacity/main.cpp
+++ b/src/programs/jujubekeel-capacity/main.cpp
@@ -1,6 +1,6 @@
 #include "capacityprobe.h"
 
-#include <docopt/docopt.h>
+#include "programs/commandline/commandline.h"
 
 #include <array>
 #include <iomanip>
@@ -34,29 +34,29 @@
 /// Today, and three sizes up to the aim.
 constexpr std::array builtInSizes{FleetSize{6, 3}, FleetSize{550, 1350}, FleetSize{1100, 2700}, FleetSize{2200, 5400}};
 
-std::uint32_t number(const docopt::value &value)
-{
-    return static_cast<std::uint32_t>(std::stoul(value.asString()));
-}
+/// Largest fleet and load that can be asked for.
+constexpr std::uint32_t maxInstances = 100'000;
+constexpr std::uint32_t maxStatements = 100'000;
 
 } // namespace
 
 int main(int argumentCount, char **argumentValues)
 {
     using namespace Jujubekeel;
-    const auto arguments =
-        docopt::docopt(usage, {argumentValues + 1, argumentValues + argumentCount}, true, "jujubekeel-capacity 0.1.0");
+    const CommandLine arguments(usage, "jujubekeel-capacity 0.1.0", argumentCount, argumentValues);
+    const std::uint32_t statements = arguments.number("--statements", 0, maxStatements);
 
     std::vector<FleetSize> sizes(builtInSizes.begin(), builtInSizes.end());
-    if (arguments.at("--instances"))
-        sizes = {FleetSize{number(arguments.at("--instances")), number(arguments.at("--databases"))}};
+    if (arguments.isGiven("--instances")) {
+        sizes = {FleetSize{arguments.number("--instances", 1, maxInstances),
+                           arguments.number("--databases", 1, maxInstances)}};
+    }
 
     std::cout << "instances databases owned  processor-%  memory-MB  messages/s  bytes/s  backend-requests/s "
                  "platform-calls/s  us/statement  state-hash\n";
     for (const FleetSize &size : sizes) {
-        CapacityProbe probe({.instances = size.instances,
-                             .databases = size.databases,
-                             .statementsPerSecond = number(arguments.at("--statements"))});
+        CapacityProbe probe(
+            {.instances = size.instances, .databases = size.databases, .statementsPerSecond = statements});
         const CapacityFigures figures = probe.run();
         std::cout << std::setw(9) << size.instances << std::setw(10) << size.databases << std::setw(6)
                   << figures.ownedBackends << std::fixed << std::setprecision(2) << std::setw(13)
