Explain the shape of a request before it is sent

Cause: operators could ask why a request went somewhere only after it had been sent. Conclusion: the line and its requester can be found in advance.

--- a/src/net/operatorserver.cpp
+++ b/src/net/operatorserver.cpp
@@ -31,7 +31,7 @@
           std::move(options), [this](const HttpCall &call) { this->handle(call); }, [](std::uint64_t) {}, errorReply)
 {
     assert(this->functions.status && this->functions.metrics && this->functions.rules && this->functions.explain
-           && this->functions.trace && this->functions.drain);
+           && this->functions.preview && this->functions.trace && this->functions.drain);
 }
 
 void OperatorServer::start()
@@ -60,6 +60,7 @@
 HttpReply OperatorServer::reply(const HttpCall &call) const
 {
     static constexpr std::string_view explainPath = "/v1/explain/";
+    static constexpr std::string_view previewPath = "/v1/preview/";
     static constexpr std::string_view tracePath = "/v1/trace/";
 
     if (!this->isAuthorized(call))
@@ -86,6 +87,13 @@
             return errorReply(ResultCode::NotFound, "no record of this request");
         return HttpReply{.body = std::move(*record)};
     }
+    if (path.starts_with(previewPath)) {
+        LastReason reason;
+        auto decision = this->functions.preview(std::string(path.substr(previewPath.size())), reason);
+        if (!decision)
+            return errorReply(reason.code(), reason.text());
+        return HttpReply{.body = std::move(*decision)};
+    }
     if (path.starts_with(tracePath)) {
         auto record = this->functions.trace(std::string(path.substr(tracePath.size())));
         if (!record)
--- a/src/net/operatorserver.h
+++ b/src/net/operatorserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/lastreason.h"
 #include "net/httplistener.h"
 
 #include <cstdint>
@@ -18,7 +19,9 @@
     std::function<std::string()> rules;                                              ///< JSON
     std::function<std::optional<std::string>(const std::string &requestId)> explain; ///< JSON
     std::function<std::optional<std::string>(const std::string &traceId)> trace;     ///< JSON
-    std::function<void()> drain;                                                     ///< starts a planned stop
+    /// JSON for the shape of a request, `DATABASE/KIND/OPERATION`; empty with a reason.
+    std::function<std::optional<std::string>(const std::string &path, LastReason &reason)> preview;
+    std::function<void()> drain; ///< starts a planned stop
 };
 
 /// The operators' listener. Owned by ProxyShell.
--- a/src/net/proxyshell.cpp
+++ b/src/net/proxyshell.cpp
@@ -3,6 +3,10 @@
 #include "net/boottime.h"
 #include "net/metrics.h"
 #include "net/statusreport.h"
+#include "requests/requestpreview.h"
+#include "wire/callerjson.h"
+
+#include <nlohmann/json.hpp>
 
 #include <array>
 #include <cassert>
@@ -77,12 +81,14 @@
                             .maxBodyBytes = 4096,
                             .idleTimeout = shell.idleTimeout},
         this->settings.operatorKeys,
-        OperatorFunctions{.status = [this] { return this->status(); },
-                          .metrics = [this] { return this->metrics(); },
-                          .rules = [this] { return this->rules(); },
-                          .explain = [this](const std::string &id) { return this->records.explain(id); },
-                          .trace = [this](const std::string &id) { return this->records.trace(id); },
-                          .drain = [this] { this->requestStop(); }});
+        OperatorFunctions{
+            .status = [this] { return this->status(); },
+            .metrics = [this] { return this->metrics(); },
+            .rules = [this] { return this->rules(); },
+            .explain = [this](const std::string &id) { return this->records.explain(id); },
+            .trace = [this](const std::string &id) { return this->records.trace(id); },
+            .preview = [this](const std::string &path, LastReason &reason) { return this->preview(path, reason); },
+            .drain = [this] { this->requestStop(); }});
 }
 
 ProxyShell::~ProxyShell()
@@ -170,6 +176,36 @@
     return text;
 }
 
+std::optional<std::string> ProxyShell::preview(const std::string &path, LastReason &reason)
+{
+    // Database and kind hold no slash; the rest is the operation.
+    const std::size_t kindStart = path.find('/');
+    const std::size_t operationStart = kindStart == std::string::npos ? kindStart : path.find('/', kindStart + 1);
+    const std::string kind = operationStart == std::string::npos
+                                 ? std::string()
+                                 : path.substr(kindStart + 1, operationStart - kindStart - 1);
+    if (kind != "read" && kind != "write") {
+        reason.set(ResultCode::BadField, "path: DATABASE/read/OPERATION or DATABASE/write/OPERATION is expected");
+        return std::nullopt;
+    }
+    const RequestShape shape{.database = path.substr(0, kindStart),
+                             .operation = path.substr(operationStart + 1),
+                             .kind = kind == "read" ? RequestKind::Read : RequestKind::Write};
+
+    std::optional<Decision> decision;
+    reason.set(ResultCode::ProxyStopping, "the instance is being stopped");
+    this->core->inspect(
+        [&](const ProxyCore &proxy) { decision = RequestPreview::decide(proxy.world(), shape, reason); });
+    if (!decision)
+        return std::nullopt;
+    nlohmann::ordered_json json;
+    json["database"] = shape.database;
+    json["operation"] = shape.operation;
+    json["kind"] = kind;
+    json["decision"] = decisionToJson(*decision);
+    return dumpJson(json);
+}
+
 std::string ProxyShell::metrics()
 {
     MetricValues values;
--- a/src/programs/jujubekeel-ctl/fleetcommands.cpp
+++ b/src/programs/jujubekeel-ctl/fleetcommands.cpp
@@ -189,7 +189,20 @@
 
 int FleetCommands::explain(const std::string &requestId) const
 {
-    const std::vector<InstanceAnswer> answers = this->client.askAll("/v1/explain/" + encodePathSegment(requestId));
+    return this->showRecords("/v1/explain/" + encodePathSegment(requestId),
+                             "no instance that answered has a record of request " + requestId);
+}
+
+int FleetCommands::preview(const std::string &database, const std::string &kind, const std::string &operation) const
+{
+    return this->showRecords("/v1/preview/" + encodePathSegment(database) + '/' + encodePathSegment(kind) + '/'
+                                 + encodePathSegment(operation),
+                             "no instance that answered can decide about such a request now");
+}
+
+int FleetCommands::showRecords(const std::string &path, const std::string &noneText) const
+{
+    const std::vector<InstanceAnswer> answers = this->client.askAll(path);
     const bool answered = this->reportFailures(answers) > 0;
     Json records = Json::array();
     for (const InstanceAnswer &answer : answers) {
@@ -201,8 +214,7 @@
     }
     if (records.empty()) {
         if (answered) {
-            this->output.writeError({.code = ResultCode::NotFound,
-                                     .text = "no instance that answered has a record of request " + requestId});
+            this->output.writeError({.code = ResultCode::NotFound, .text = noneText});
         }
         return exitFailed;
     }
--- a/src/programs/jujubekeel-ctl/main.cpp
+++ b/src/programs/jujubekeel-ctl/main.cpp
@@ -31,6 +31,7 @@
   jujubekeel-ctl rules --settings=FILE [--json]
   jujubekeel-ctl status --settings=FILE [--json]
   jujubekeel-ctl explain REQUESTID --settings=FILE [--json]
+  jujubekeel-ctl explain (read | write) DATABASE OPERATION --settings=FILE [--json]
   jujubekeel-ctl trace TRACEID --settings=FILE [--json]
   jujubekeel-ctl drain INSTANCE --settings=FILE [--json]
   jujubekeel-ctl --help
@@ -41,7 +42,8 @@
   apply    Checks a rule file and makes it the rule set in force.
   rules    Shows the rule set in force and the version on each instance.
   status   Shows instances, databases and backend servers with owner, role, positions and age.
-  explain  Shows why a request went where it went, with the rule line and who asked for it.
+  explain  Shows why a request went where it went, with the rule line and who asked for it; with read or write what
+           each instance would decide now for such a request.
   trace    Shows the hops of a request on all instances and the time spent in each.
   drain    Starts a planned stop of an instance: it finishes its requests in flight.
 
@@ -150,6 +152,11 @@
         return ruleCommands.rules();
     if (arguments.at("status").asBool())
         return fleetCommands.status();
+    if (arguments.at("read").asBool() || arguments.at("write").asBool()) {
+        return fleetCommands.preview(arguments.at("DATABASE").asString(),
+                                     arguments.at("read").asBool() ? "read" : "write",
+                                     arguments.at("OPERATION").asString());
+    }
     if (arguments.at("explain").asBool())
         return fleetCommands.explain(arguments.at("REQUESTID").asString());
     if (arguments.at("trace").asBool())
--- a/src/requests/requestintake.h
+++ b/src/requests/requestintake.h
@@ -15,10 +15,11 @@
 public:
     /// Returns false with a reason if the request is rejected; it has then not run.
     static bool prepare(World &world, EntryRow &entry, const SessionTokenCodec &codec, LastReason &reason);
+    /// Sets the accepted age, whether a write may be repeated, and the rule line that says so. A rule set must be in force.
+    static void applyRules(const World &world, EntryRow &entry);
 
 private:
     static bool prepareSession(World &world, EntryRow &entry, const SessionTokenCodec &codec, LastReason &reason);
-    static void applyRules(const World &world, EntryRow &entry);
 };
 
 } // namespace Jujubekeel
