Join what the read-through found twice

Cause: the test for "executes work here" stood in five places, that for a small fleet in four, those for holding a lock, for a peer in use, for kinds that change data, and the start of a commit's look-up in two each. One enumerator was never used. Ruled out: removing ExecutionRow::sequence, which is unused as well; its number feeds the state hashes that docs/measurements.md quotes. Change: executesWork, holdsLock and changesData stand beside their enumerations, World::isFullMesh and RequestSystem::lookUpCommit serve all their callers.

--- a/src/authority/confirmationsystem.cpp
+++ b/src/authority/confirmationsystem.cpp
@@ -139,7 +139,7 @@
         LeaseState &lease = row.confirmation.lease;
 
         // A lease belongs to the owner of the primary. What is left of it runs out by itself.
-        const bool owned = row.ownership.step == OwnershipStep::Owned || row.ownership.step == OwnershipStep::Closing;
+        const bool owned = executesWork(row.ownership.step);
         if (!owned || world.at(row.database).primary != backend || row.role != BackendRole::Primary
             || row.history.lastTerm() != world.at(row.database).history.lastTerm()) {
             lease.call = 0;
--- a/src/authority/groupmonitorsystem.cpp
+++ b/src/authority/groupmonitorsystem.cpp
@@ -126,10 +126,7 @@
 
     // Owner. Of two instances that claim a server, the one with the later report counts; what this instance owns itself
     // is known better here.
-    const OwnershipStep step = row.ownership.step;
-    const bool ownedHere =
-        step == OwnershipStep::Owned || step == OwnershipStep::Closing || step == OwnershipStep::Unlocking;
-    if (!ownedHere) {
+    if (!holdsLock(row.ownership.step)) {
         const bool present = row.owner == from;
         const bool ownerGone = !row.owner.isValid() || !world.at(row.owner).live;
         if (present || ownerGone || row.ownerHeard < world.now) {
--- a/src/core/backendrow.h
+++ b/src/core/backendrow.h
@@ -20,6 +20,18 @@
     Unlocking,
 };
 
+/// This instance executes work at the server: it owns it, or is about to release it.
+[[nodiscard]] constexpr bool executesWork(OwnershipStep step)
+{
+    return step == OwnershipStep::Owned || step == OwnershipStep::Closing;
+}
+
+/// This instance holds the server's lock.
+[[nodiscard]] constexpr bool holdsLock(OwnershipStep step)
+{
+    return executesWork(step) || step == OwnershipStep::Unlocking;
+}
+
 /// Ownership of one backend server by this instance. Written by OwnershipSystem.
 struct OwnershipState
 {
--- a/src/core/callermessages.h
+++ b/src/core/callermessages.h
@@ -12,6 +12,12 @@
 
 enum class RequestKind : std::uint8_t { Read, Write, Begin, Commit, Rollback };
 
+/// The request ends in a log entry of its own.
+[[nodiscard]] constexpr bool changesData(RequestKind kind)
+{
+    return kind == RequestKind::Write || kind == RequestKind::Commit;
+}
+
 /// W3C trace context: 32 and 16 hexadecimal digits.
 struct TraceContext
 {
--- a/src/core/entryrow.h
+++ b/src/core/entryrow.h
@@ -14,7 +14,6 @@
 enum class EntryStep : std::uint8_t {
     Waiting,   ///< to be routed at `nextTry`
     Forwarded, ///< sent to an owner
-    Resolving, ///< outcome unknown; waits for a new primary to look the key up
 };
 
 /// A caller's request at the proxy that took it. Written by RequestSystem.
--- a/src/core/world.h
+++ b/src/core/world.h
@@ -71,6 +71,8 @@
 
     [[nodiscard]] BackendWork &workAt(BackendId id) { return this->work.at(id.index); }
     [[nodiscard]] const BackendWork &workAt(BackendId id) const { return this->work.at(id.index); }
+    /// Small fleet: every instance sends heartbeats to every other.
+    [[nodiscard]] bool isFullMesh() const { return this->instances.size() <= this->options.membership.fullMeshLimit; }
     [[nodiscard]] std::uint64_t takeNumber() { return this->nextNumber++; }
     [[nodiscard]] const std::string &selfName() const { return this->layout.at(this->self).name; }
 };
--- a/src/membership/membershipsystem.cpp
+++ b/src/membership/membershipsystem.cpp
@@ -37,15 +37,21 @@
     return neighbours;
 }
 
+/// Work went to or came from the peer a short time ago.
+bool isInUse(const World &world, InstanceId peer)
+{
+    const TimePoint used = world.at(peer).lastUsed;
+    return used > TimePoint{0} && world.now - used <= world.options.membership.interestTime;
+}
+
 /// Peers that get heartbeats: all in a small fleet; in a large one ring neighbours, peers in use, and the other
 /// candidates of the servers held here, which take over if this instance fails.
 std::vector<InstanceId> interestSet(const World &world)
 {
-    const bool fullMesh = world.instances.size() <= world.options.membership.fullMeshLimit;
+    const bool fullMesh = world.isFullMesh();
     std::vector<bool> chosen(world.instances.size(), fullMesh);
     for (std::uint32_t index = 0; !fullMesh && index < world.instances.size(); ++index) {
-        const TimePoint used = world.instances[index].lastUsed;
-        chosen[index] = used > TimePoint{0} && world.now - used <= world.options.membership.interestTime;
+        chosen[index] = isInUse(world, {.index = index, .generation = 0});
     }
     if (!fullMesh) {
         for (const InstanceId id : ringNeighbours(world))
@@ -64,25 +70,13 @@
     return peers;
 }
 
-bool isFullMesh(const World &world)
-{
-    return world.instances.size() <= world.options.membership.fullMeshLimit;
-}
-
-bool isInUse(const World &world, InstanceId peer)
-{
-    const TimePoint used = world.at(peer).lastUsed;
-    return used > TimePoint{0} && world.now - used <= world.options.membership.interestTime;
-}
-
 /// Reports for a peer. In a large fleet a peer hears of the servers it may take over, and of all if it sends work here.
 std::vector<BackendReport> reportsFor(const World &world, InstanceId peer)
 {
-    const bool all = isFullMesh(world) || isInUse(world, peer);
+    const bool all = world.isFullMesh() || isInUse(world, peer);
     std::vector<BackendReport> reports;
     for (const BackendId id : world.engaged) {
-        const OwnershipStep step = world.at(id).ownership.step;
-        if (step != OwnershipStep::Owned && step != OwnershipStep::Closing)
+        if (!executesWork(world.at(id).ownership.step))
             continue;
         const std::span<const InstanceId> candidates = world.candidates.forBackend(id);
         if (all || std::ranges::find(candidates, peer) != candidates.end())
@@ -102,7 +96,7 @@
                         .leaving = world.stopping,
                         .owned = reportsFor(world, peer)};
     const MembershipOptions &options = world.options.membership;
-    row.nextHeartbeat = world.now + (isFullMesh(world) ? options.heartbeatInterval : options.largeFleetInterval);
+    row.nextHeartbeat = world.now + (world.isFullMesh() ? options.heartbeatInterval : options.largeFleetInterval);
     sendToPeer(world, peer, std::move(heartbeat), actions);
     world.counters.add("jujubekeel_heartbeats_sent_total");
 }
@@ -171,7 +165,7 @@
     // Liveness. In a small fleet every instance sends heartbeats to every other; in a large one an instance that was
     // never heard counts as live while the platform lists it.
     const MembershipOptions &options = world.options.membership;
-    const bool fullMesh = world.instances.size() <= options.fullMeshLimit;
+    const bool fullMesh = world.isFullMesh();
     for (std::uint32_t index = 0; index < world.instances.size(); ++index) {
         InstanceRow &row = world.instances[index];
         if (index == world.self.index) {
--- a/src/net/statusreport.cpp
+++ b/src/net/statusreport.cpp
@@ -79,7 +79,7 @@
 {
     const BackendRow &row = world.at(id);
     const BackendSettings &settings = world.layout.at(id);
-    const bool owned = row.ownership.step == OwnershipStep::Owned || row.ownership.step == OwnershipStep::Closing;
+    const bool owned = executesWork(row.ownership.step);
     Json json;
     json["name"] = settings.name;
     json["database"] = world.layout.at(settings.database).name;
--- a/src/ownership/ownershipsystem.cpp
+++ b/src/ownership/ownershipsystem.cpp
@@ -55,11 +55,6 @@
     return base * (1U << std::min(times, maxDoublings));
 }
 
-bool holdsLock(OwnershipStep step)
-{
-    return step == OwnershipStep::Owned || step == OwnershipStep::Closing || step == OwnershipStep::Unlocking;
-}
-
 /// Rank of this instance among the candidates; empty if it is none.
 std::optional<std::size_t> ownRank(const World &world, BackendId backend)
 {
@@ -562,8 +557,7 @@
             return true;
         // Only an owned primary can confirm; what waits at another server is ended by its own deadline or by the
         // new primary.
-        if ((state.step != OwnershipStep::Owned && state.step != OwnershipStep::Closing)
-            || row.role != BackendRole::Primary) {
+        if (!executesWork(state.step) || row.role != BackendRole::Primary) {
             row.confirmation.barrierWanted = false;
             row.confirmation.wantedPosition = 0;
             return true;
--- a/src/requests/executionsystem.cpp
+++ b/src/requests/executionsystem.cpp
@@ -65,12 +65,6 @@
     return limit > reserve ? limit - reserve : 0;
 }
 
-bool isOwned(const World &world, BackendId backend)
-{
-    const OwnershipStep step = world.at(backend).ownership.step;
-    return step == OwnershipStep::Owned || step == OwnershipStep::Closing;
-}
-
 } // namespace
 
 bool ExecutionSystem::hasWork(const World &world, BackendId backend)
@@ -113,7 +107,7 @@
 void ExecutionSystem::advance(World &world, Actions &actions)
 {
     for (const BackendId id : world.engaged) {
-        if (isOwned(world, id)) {
+        if (executesWork(world.at(id).ownership.step)) {
             this->completeConfirmed(world, id, actions);
             this->startQueued(world, id, actions);
         } else if (world.at(id).openConnections > 0 || !world.workAt(id).isEmpty()) {
--- a/src/requests/requestintake.cpp
+++ b/src/requests/requestintake.cpp
@@ -8,15 +8,6 @@
 
 namespace Jujubekeel {
 
-namespace {
-
-bool changesData(RequestKind kind)
-{
-    return kind == RequestKind::Write || kind == RequestKind::Commit;
-}
-
-} // namespace
-
 bool RequestIntake::prepare(World &world, EntryRow &entry, const SessionTokenCodec &codec, LastReason &reason)
 {
     CallerRequest &request = entry.request;
--- a/src/requests/requestsystem.cpp
+++ b/src/requests/requestsystem.cpp
@@ -26,11 +26,6 @@
 /// Begin attempts whose late answers are still recognised; the owner rolls back what is older when it is found unused.
 constexpr std::size_t maxBeginsWithoutAnswer = 1000;
 
-bool changesData(RequestKind kind)
-{
-    return kind == RequestKind::Write || kind == RequestKind::Commit;
-}
-
 /// The request is a statement, commit or rollback of an open transaction.
 bool isInTransaction(const EntryRow &entry)
 {
@@ -144,10 +139,7 @@
         } else if (route.code == ResultCode::TransactionLost) {
             // The commit may have run at an earlier attempt of the caller; its key tells.
             if (entry.hasCallerKey || entry.mayHaveRun) {
-                entry.lookup = true;
-                entry.mayHaveRun = true;
-                entry.sentTerm = TransactionName::parse(entry.request.transaction)->term;
-                wait(world, entry, route.code, route.reason);
+                lookUpCommit(world, entry, route.code, route.reason);
             } else {
                 this->finish(world, id, route.code, route.reason, actions);
             }
@@ -225,6 +217,15 @@
     entry.lastText = std::move(text);
 }
 
+void RequestSystem::lookUpCommit(World &world, EntryRow &entry, ResultCode code, const std::string &text)
+{
+    const auto name = TransactionName::parse(entry.request.transaction);
+    entry.lookup = true;
+    entry.mayHaveRun = true;
+    entry.sentTerm = std::max(entry.sentTerm, name ? name->term : 0);
+    wait(world, entry, code, text);
+}
+
 void RequestSystem::handle(World &world, const ForwardAnswer &answer, Actions &actions)
 {
     // An answer to an attempt that was given up is dropped: its outcome was settled without it.
@@ -351,11 +352,7 @@
     case ResultCode::UnknownTransaction:
         // The caller repeats a commit whose answer it did not get: the key tells whether it ran.
         if (entry.request.kind == RequestKind::Commit && (entry.hasCallerKey || entry.mayHaveRun)) {
-            const auto name = TransactionName::parse(entry.request.transaction);
-            entry.lookup = true;
-            entry.mayHaveRun = true;
-            entry.sentTerm = std::max(entry.sentTerm, name ? name->term : 0);
-            wait(world, entry, answer.code, answer.text);
+            lookUpCommit(world, entry, answer.code, answer.text);
             return;
         }
         break;
--- a/src/requests/requestsystem.h
+++ b/src/requests/requestsystem.h
@@ -35,6 +35,8 @@
     [[nodiscard]] Route route(const World &world, const EntryRow &entry) const;
     void send(World &world, RequestId id, const Route &route, Actions &actions);
     static void wait(World &world, EntryRow &entry, ResultCode code, std::string text);
+    /// The transaction is gone, and an earlier attempt of the commit may have run: its key is looked up.
+    static void lookUpCommit(World &world, EntryRow &entry, ResultCode code, const std::string &text);
 
     /// The attempt under way ended without a settled outcome.
     void attemptLost(World &world, RequestId id, Actions &actions);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -99,7 +99,7 @@
 {
     if (hasLiveOwner(world, backend))
         return world.at(backend).owner;
-    if (world.instances.size() <= world.options.membership.fullMeshLimit)
+    if (world.isFullMesh())
         return InstanceId{};
     const std::span<const InstanceId> candidates = world.candidates.forBackend(backend);
     if (candidates.empty())
