--- /dev/null
+++ b/src/catalog/routetable.cpp
@@ -0,0 +1,36 @@
+#include "catalog/routetable.h"
+
+#include <utility>
+
+namespace Jujubekeel {
+
+void RouteTable::addRoute(Route route)
+{
+    route.version = this->tableVersion;
+    std::string database = route.database;
+    this->routes.insert_or_assign(std::move(database), std::make_shared<const Route>(std::move(route)));
+}
+
+void RouteTable::addService(std::string name, ServiceLimits limits)
+{
+    this->services.insert_or_assign(std::move(name), limits);
+}
+
+std::shared_ptr<const Route> RouteTable::find(std::string_view database) const
+{
+    const auto found = this->routes.find(database);
+    return found == this->routes.end() ? nullptr : found->second;
+}
+
+std::uint32_t RouteTable::maxConnections(std::string_view service) const
+{
+    const auto found = this->services.find(service);
+    return found == this->services.end() ? ServiceLimits{}.maxConnections : found->second.maxConnections;
+}
+
+bool RouteTable::hasService(std::string_view service) const
+{
+    return this->services.contains(service);
+}
+
+} // namespace Jujubekeel
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -8,6 +8,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -24,6 +26,16 @@
 /// Longest answer that is read: four times the largest object of the platform.
 constexpr std::size_t answerLimit = std::size_t{4} * 1024 * 1024;
 
+/// A connection can go silent for good while new ones work; the kernel then ends it within about three seconds.
+void noticeSilence(Poco::Net::StreamSocket &socket)
+{
+    socket.setKeepAlive(true);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, 1);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    socket.setOption(IPPROTO_TCP, TCP_KEEPCNT, 2);
+    socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, 2000);
+}
+
 std::size_t headerBytes(const Poco::Net::MessageHeader &header)
 {
     std::size_t bytes = 2;
@@ -65,6 +77,7 @@
         Poco::Net::StreamSocket socket;
         socket.connect(Poco::Net::SocketAddress(this->address), Poco::Timespan(this->connectTimeout.count()));
         socket.setNoDelay(true);
+        noticeSilence(socket);
         const std::scoped_lock lock(this->mutex);
         if (this->cancelled) {
             error = "cancelled";
--- /dev/null
+++ b/src/net/streamconnection.cpp
@@ -0,0 +1,155 @@
+#include "net/streamconnection.h"
+
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace Jujubekeel {
+
+StreamConnection::StreamConnection(asio::ip::tcp::socket tcpSocket, StreamConnectionOptions connectionOptions)
+    : socket(std::move(tcpSocket)), closeTimer(this->socket.get_executor()), options(connectionOptions)
+{
+}
+
+void StreamConnection::configure()
+{
+    // Connections can go silent for good; the kernel notices by missing acknowledgements.
+    const int descriptor = this->socket.native_handle();
+    const auto set = [descriptor](int level, int name, int value) {
+        ::setsockopt(descriptor, level, name, &value, sizeof value);
+    };
+    set(IPPROTO_TCP, TCP_NODELAY, 1);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, this->options.userTimeoutMs);
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, this->options.keepAliveIdleS);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    set(IPPROTO_TCP, TCP_KEEPCNT, 2);
+}
+
+void StreamConnection::start(Callbacks streamCallbacks)
+{
+    this->callbacks = std::move(streamCallbacks);
+    this->connected = true;
+    this->configure();
+    this->read();
+}
+
+void StreamConnection::connect(const asio::ip::tcp::endpoint &address, Callbacks streamCallbacks)
+{
+    this->callbacks = std::move(streamCallbacks);
+    asio::error_code error;
+    this->socket.open(address.protocol(), error);
+    if (!error)
+        this->configure();
+    this->socket.async_connect(address, [self = this->shared_from_this()](const asio::error_code &failure) {
+        if (self->over)
+            return;
+        if (failure) {
+            self->end(StreamEnd::Refused);
+            return;
+        }
+        self->connected = true;
+        self->read();
+        self->flush();
+    });
+}
+
+void StreamConnection::send(std::string_view bytes)
+{
+    if (!this->over && !this->closing)
+        this->gathered += bytes;
+}
+
+void StreamConnection::flush()
+{
+    if (this->over)
+        return;
+    if (this->gathered.size() > this->options.sendLimit) {
+        this->end(StreamEnd::TooSlow);
+        return;
+    }
+    if (this->connected && !this->isWriting && !this->gathered.empty())
+        this->write();
+}
+
+void StreamConnection::write()
+{
+    this->isWriting = true;
+    this->writing.swap(this->gathered);
+    asio::async_write(this->socket, asio::buffer(this->writing),
+                      [self = this->shared_from_this()](const asio::error_code &failure, std::size_t) {
+                          self->isWriting = false;
+                          self->writing.clear();
+                          if (self->over)
+                              return;
+                          if (failure)
+                              self->end(StreamEnd::Broken);
+                          else if (!self->gathered.empty())
+                              self->write();
+                          else if (self->closing)
+                              self->finishClosing();
+                      });
+}
+
+void StreamConnection::read()
+{
+    this->socket.async_read_some(asio::buffer(this->input),
+                                 [self = this->shared_from_this()](const asio::error_code &failure, std::size_t size) {
+                                     if (self->over)
+                                         return;
+                                     if (failure) {
+                                         self->end(StreamEnd::Broken);
+                                         return;
+                                     }
+                                     if (!self->closing)
+                                         self->callbacks.data(std::string_view(self->input.data(), size));
+                                     if (!self->over)
+                                         self->read();
+                                 });
+}
+
+void StreamConnection::close()
+{
+    if (this->over || this->closing)
+        return;
+    this->closing = true;
+    if (!this->connected) {
+        this->abort();
+        return;
+    }
+    if (!this->isWriting && this->gathered.empty())
+        this->finishClosing();
+    else
+        this->flush();
+}
+
+void StreamConnection::finishClosing()
+{
+    asio::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->closeTimer.expires_after(this->options.closeWait);
+    this->closeTimer.async_wait([self = this->shared_from_this()](const asio::error_code &) { self->abort(); });
+}
+
+void StreamConnection::abort()
+{
+    this->over = true;
+    asio::error_code ignored;
+    this->socket.close(ignored);
+    this->closeTimer.cancel();
+}
+
+void StreamConnection::end(StreamEnd reason)
+{
+    const bool report = !this->over && !this->closing;
+    this->abort();
+    if (report)
+        this->callbacks.ended(reason);
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/directorysystem.cpp
@@ -0,0 +1,174 @@
+#include "pool/directorysystem.h"
+
+#include "pool/dispatchsystem.h"
+#include "pool/linksystem.h"
+#include "pool/poolworld.h"
+
+#include <algorithm>
+
+namespace Jujubekeel {
+
+namespace {
+
+/// Entries of living servers are back within two seconds of the store's return.
+constexpr Duration missingGrace = std::chrono::milliseconds(2500);
+
+} // namespace
+
+ServiceId DirectorySystem::addService(const std::string &name)
+{
+    const auto found = this->world.serviceByName.find(name);
+    if (found != this->world.serviceByName.end())
+        return found->second;
+    const PoolOptions &options = this->world.options;
+    const ServiceId id = this->world.services.insert(ServiceRow{
+        .name = name,
+        .positions = PositionHistory({.interval = options.sampleInterval, .keep = options.sampleKeep})});
+    this->world.serviceByName.emplace(name, id);
+    return id;
+}
+
+void DirectorySystem::servicesChanged()
+{
+    this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->dispatch.drain(id); });
+}
+
+ServerId DirectorySystem::addServer(const ServerEntry &entry)
+{
+    const ServiceId service = this->addService(entry.service);
+    const ServerId id = this->world.servers.insert(ServerRow{.entry = entry, .service = service});
+    this->world.serverById.insert_or_assign(entry.id, id);
+    this->world.services.at(service).servers.push_back(id);
+    ServerRow &row = this->world.servers.at(id);
+    row.drainingSince = entry.draining ? this->world.now : TimePoint{0};
+    this->world.log(LogLevel::Info, "server-listed",
+                    {{"server", entry.id},
+                     {"service", entry.service},
+                     {"address", entry.address},
+                     {"domain", entry.failureDomain},
+                     {"primary", entry.claimsPrimary ? "true" : "false"},
+                     {"draining", entry.draining ? "true" : "false"}});
+    return id;
+}
+
+void DirectorySystem::entryChanged(const ServerEntry &entry)
+{
+    const auto found = this->world.serverById.find(entry.id);
+    ServerId id;
+    if (found == this->world.serverById.end()) {
+        id = this->addServer(entry);
+    } else if (this->world.servers.at(found->second).entry.service != entry.service) {
+        this->remove(found->second, "the id moved to another service");
+        id = this->addServer(entry);
+    } else {
+        id = found->second;
+        this->update(id, entry);
+    }
+    const ServerRow &row = this->world.servers.at(id);
+    if (row.links.empty() && !entry.draining)
+        this->links.ensureOpening(id);
+    this->dispatch.drain(row.service);
+}
+
+void DirectorySystem::update(ServerId id, const ServerEntry &entry)
+{
+    ServerRow &row = this->world.servers.at(id);
+    const bool restarted = row.entry.incarnation != entry.incarnation;
+    const bool moved = row.entry.address != entry.address;
+    const bool drains = entry.draining && !row.entry.draining;
+    row.entry = entry;
+    row.missingSince = TimePoint{0};
+    if (!entry.draining)
+        row.drainingSince = TimePoint{0};
+    if (restarted || moved) {
+        // A new process under the old id knows nothing of before.
+        row.applied = LogPosition{};
+        row.behindUntil = TimePoint{0};
+        row.retryAt = TimePoint{0};
+        row.retryPause = Duration{0};
+        row.unreachableSince = TimePoint{0};
+        this->closeFreeLinks(id);
+    }
+    if (drains) {
+        row.drainingSince = this->world.now;
+        if (this->world.services.at(row.service).primary != id)
+            this->closeFreeLinks(id);
+    }
+    if (restarted || moved || drains)
+        this->world.log(LogLevel::Info, "server-changed",
+                        {{"server", entry.id},
+                         {"service", entry.service},
+                         {"address", entry.address},
+                         {"restarted", restarted ? "true" : "false"},
+                         {"draining", entry.draining ? "true" : "false"}});
+}
+
+void DirectorySystem::entryRemoved(std::string_view entryId)
+{
+    const auto found = this->world.serverById.find(std::string(entryId));
+    if (found == this->world.serverById.end())
+        return;
+    ServerRow &row = this->world.servers.at(found->second);
+    if (row.entry.draining || row.links.empty()) {
+        this->remove(found->second, "it has left");
+        return;
+    }
+    if (row.missingSince.count() != 0)
+        return;
+    row.missingSince = this->world.now;
+    this->world.timers.add(this->world.now + missingGrace, TimerKind::ServerMissing, found->second.packed());
+}
+
+void DirectorySystem::checkMissing(ServerId id)
+{
+    const ServerRow *row = this->world.servers.find(id);
+    if (row == nullptr || row->missingSince.count() == 0 || this->world.now - row->missingSince < missingGrace)
+        return;
+    this->remove(id, "its entry has not come back");
+}
+
+void DirectorySystem::entriesListed(const std::vector<ServerEntry> &entries)
+{
+    std::vector<std::string> gone;
+    for (const auto &[id, server] : this->world.serverById) {
+        const bool named = std::any_of(entries.begin(), entries.end(),
+                                       [&](const ServerEntry &entry) { return entry.id == id; });
+        if (!named)
+            gone.push_back(id);
+    }
+    std::sort(gone.begin(), gone.end());
+    for (const std::string &id : gone)
+        this->entryRemoved(id);
+    for (const ServerEntry &entry : entries)
+        this->entryChanged(entry);
+}
+
+void DirectorySystem::remove(ServerId id, std::string_view reason)
+{
+    ServerRow &row = this->world.servers.at(id);
+    row.listed = false;
+    this->world.log(LogLevel::Info, "server-removed",
+                    {{"server", row.entry.id}, {"service", row.entry.service}, {"reason", std::string(reason)}});
+    this->world.serverById.erase(row.entry.id);
+    ServiceRow &service = this->world.services.at(row.service);
+    std::erase(service.servers, id);
+    if (service.primary == id)
+        service.primary = ServerId{};
+
+    // Work that is under way there ends with its connection.
+    const std::vector<LinkId> open = row.links;
+    for (const LinkId link : open)
+        this->dispatch.linkLost(link, LinkEnd::Closed);
+    this->world.servers.erase(id);
+}
+
+void DirectorySystem::closeFreeLinks(ServerId id)
+{
+    const std::vector<LinkId> open = this->world.servers.at(id).links;
+    for (const LinkId link : open) {
+        if (this->world.links.at(link).isFree())
+            this->links.close(link, LinkEnd::Closed);
+    }
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/linksystem.cpp
@@ -0,0 +1,187 @@
+#include "pool/linksystem.h"
+
+#include "pool/poolworld.h"
+
+#include <algorithm>
+#include <cassert>
+#include <string_view>
+
+namespace Jujubekeel {
+
+namespace {
+
+std::string_view describe(LinkEnd end)
+{
+    switch (end) {
+    case LinkEnd::Refused:
+        return "refused";
+    case LinkEnd::Broken:
+        return "broken";
+    case LinkEnd::Silent:
+        return "silent";
+    case LinkEnd::Closed:
+        return "closed";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+std::uint32_t LinkSystem::linkLimit(const std::string &service) const
+{
+    const PoolOptions &options = this->world.options;
+    const std::uint32_t limit = this->world.routes ? this->world.routes->maxConnections(service) : 0;
+    const std::uint32_t shared = limit > options.spareConnections ? limit - options.spareConnections : 1;
+    const std::uint32_t instances = std::max(this->world.instances, options.expectedInstances);
+    return std::clamp<std::uint32_t>(shared / instances, 1, options.linksPerServer);
+}
+
+LinkId LinkSystem::findFree(ServerId server, SessionId session) const
+{
+    const SessionRow *user = this->world.sessions.find(session);
+    LinkId best;
+    for (const LinkId id : this->world.servers.at(server).links) {
+        const LinkRow &link = this->world.links.at(id);
+        if (!link.isFree())
+            continue;
+        if (user != nullptr && link.values == user->values)
+            return id;
+        best = id;
+    }
+    return best;
+}
+
+bool LinkSystem::ensureOpening(ServerId server)
+{
+    ServerRow &row = this->world.servers.at(server);
+    if (row.opening > 0)
+        return true;
+    if (!row.listed || this->world.now < row.retryAt)
+        return false;
+    if (row.links.size() >= this->linkLimit(row.entry.service))
+        return false;
+
+    const LinkId link = this->world.links.insert(LinkRow{.server = server});
+    row.links.push_back(link);
+    row.opening += 1;
+    this->world.counters.add("jujubekeel_pool_links_opened_total");
+    this->world.emit(OpenLink{.link = link, .address = row.entry.address});
+    this->send(link, ExchangeKind::Open,
+               ServerCommand{.kind = CommandKind::Open, .name = row.entry.service, .argument = row.entry.id});
+    this->setDeadline(link, this->world.now + this->world.options.openTimeout);
+    return true;
+}
+
+void LinkSystem::send(LinkId link, ExchangeKind kind, ServerCommand command)
+{
+    LinkRow &row = this->world.links.at(link);
+    ServerRow &server = this->world.servers.at(row.server);
+    row.exchanges.push_back(Exchange{.kind = kind, .sentAt = this->world.now});
+    if (server.askedSince.count() == 0)
+        server.askedSince = this->world.now;
+    this->world.emit(SendCommand{.link = link, .command = std::move(command)});
+}
+
+void LinkSystem::setDeadline(LinkId link, TimePoint deadline)
+{
+    this->world.links.at(link).deadline = deadline;
+    this->world.timers.add(deadline, TimerKind::LinkDeadline, link.packed());
+}
+
+std::optional<CompletedExchange> LinkSystem::receive(LinkId link, ServerMessage message, bool &broken)
+{
+    LinkRow &row = this->world.links.at(link);
+    ServerRow &server = this->world.servers.at(row.server);
+    if (row.exchanges.empty()) {
+        broken = true;
+        return std::nullopt;
+    }
+    server.lastAnswerAt = this->world.now;
+    server.unreachableSince = TimePoint{0};
+    Exchange &exchange = row.exchanges.front();
+    switch (message.kind) {
+    case ServerMessageKind::Row:
+        exchange.bytes += message.text.size();
+        broken = exchange.bytes > this->world.options.resultLimit;
+        exchange.rows.push_back(std::move(message.text));
+        return std::nullopt;
+    case ServerMessageKind::Done:
+        exchange.digest = std::move(message.text);
+        exchange.done = true;
+        return std::nullopt;
+    case ServerMessageKind::Error:
+        exchange.error = std::move(message.error);
+        return std::nullopt;
+    case ServerMessageKind::Ready:
+        break;
+    }
+
+    // Ready ends the exchange. One that is neither done nor failed is complete only for Open.
+    if (!exchange.done && !exchange.error && exchange.kind != ExchangeKind::Open) {
+        broken = true;
+        return std::nullopt;
+    }
+    CompletedExchange completed{
+        .exchange = std::move(exchange), .state = message.state, .position = message.position};
+    row.exchanges.pop_front();
+    if (message.position)
+        server.applied = std::max(server.applied, *message.position);
+    server.askedSince = TimePoint{0};
+    for (const LinkId other : server.links) {
+        if (!this->world.links.at(other).exchanges.empty())
+            server.askedSince = this->world.now;
+    }
+    if (row.exchanges.empty()) {
+        row.deadline = TimePoint{0};
+        row.idleSince = this->world.now;
+    }
+    return completed;
+}
+
+void LinkSystem::greeted(LinkId link)
+{
+    LinkRow &row = this->world.links.at(link);
+    ServerRow &server = this->world.servers.at(row.server);
+    assert(!row.open && server.opening > 0);
+    row.open = true;
+    server.opening -= 1;
+    server.retryAt = TimePoint{0};
+    server.retryPause = Duration{0};
+}
+
+void LinkSystem::close(LinkId link, LinkEnd end)
+{
+    const LinkRow &row = this->world.links.at(link);
+    const ServerId serverId = row.server;
+    ServerRow &server = this->world.servers.at(serverId);
+    const bool wasOpen = row.open;
+    if (!wasOpen)
+        server.opening -= 1;
+    std::erase(server.links, link);
+    this->world.links.erase(link);
+    this->world.emit(CloseLink{.link = link});
+    if (end != LinkEnd::Closed) {
+        this->noteFailure(serverId, end, wasOpen);
+        this->world.counters.add("jujubekeel_pool_links_lost_total{end=\"" + std::string(describe(end)) + "\"}");
+        this->world.log(LogLevel::Warning, "link-lost",
+                        {{"server", server.entry.id},
+                         {"service", server.entry.service},
+                         {"end", std::string(describe(end))},
+                         {"greeted", wasOpen ? "true" : "false"},
+                         {"links", std::to_string(server.links.size())}});
+    }
+}
+
+void LinkSystem::noteFailure(ServerId server, LinkEnd end, bool wasGreeted)
+{
+    ServerRow &row = this->world.servers.at(server);
+    const PoolOptions &options = this->world.options;
+    if (row.unreachableSince.count() == 0 && end != LinkEnd::Silent)
+        row.unreachableSince = this->world.now;
+    row.retryPause = std::clamp(row.retryPause * 2, options.retryFirst, options.retryLast);
+    // A link that broke while others may still work is opened again at once; a refused one later.
+    row.retryAt = this->world.now + (wasGreeted && end == LinkEnd::Broken ? Duration{0} : row.retryPause);
+    this->world.timers.add(row.retryAt, TimerKind::ServerRetry, server.packed());
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/poolcore.cpp
@@ -0,0 +1,204 @@
+#include "pool/poolcore.h"
+
+#include <utility>
+
+namespace Jujubekeel {
+
+PoolCore::PoolCore(PoolOptions options)
+    : links(this->world),
+      dispatch(this->world, this->links,
+               [this](SessionId session, CallerReply reply) { this->sessions.finished(session, std::move(reply)); }),
+      sessions(this->world, this->dispatch), directory(this->world, this->links, this->dispatch)
+{
+    this->world.options = std::move(options);
+}
+
+SessionId PoolCore::callerConnected(TimePoint now)
+{
+    this->world.now = now;
+    this->world.counters.add("jujubekeel_pool_sessions_total");
+    return this->world.sessions.insert(SessionRow{.lastActiveAt = now});
+}
+
+void PoolCore::callerOpens(TimePoint now, SessionId session, const std::string &database)
+{
+    this->world.now = now;
+    if (this->world.sessions.contains(session))
+        this->sessions.open(session, database);
+}
+
+void PoolCore::callerRuns(TimePoint now, SessionId session, Statement statement)
+{
+    this->world.now = now;
+    if (this->world.sessions.contains(session))
+        this->sessions.run(session, std::move(statement));
+}
+
+void PoolCore::callerEnds(TimePoint now, SessionId session)
+{
+    this->world.now = now;
+    this->sessions.end(session);
+}
+
+void PoolCore::linkAnswers(TimePoint now, LinkId link, ServerMessage message)
+{
+    this->world.now = now;
+    if (!this->world.links.contains(link))
+        return;
+    bool broken = false;
+    auto completed = this->links.receive(link, std::move(message), broken);
+    if (broken) {
+        this->dispatch.linkLost(link, LinkEnd::Broken);
+        return;
+    }
+    if (!completed)
+        return;
+    if (completed->exchange.kind != ExchangeKind::Open) {
+        this->dispatch.exchangeCompleted(link, std::move(*completed));
+        return;
+    }
+    if (completed->exchange.error) {
+        this->dispatch.linkLost(link, LinkEnd::Refused);
+        return;
+    }
+    this->links.greeted(link);
+    this->dispatch.linkOpened(link);
+}
+
+void PoolCore::linkEnds(TimePoint now, LinkId link, LinkEnd end)
+{
+    this->world.now = now;
+    if (this->world.links.contains(link))
+        this->dispatch.linkLost(link, end);
+}
+
+void PoolCore::routesReceived(TimePoint now, std::shared_ptr<const RouteTable> routes)
+{
+    this->world.now = now;
+    const std::uint64_t present = this->world.routes ? this->world.routes->version() : 0;
+    if (routes->version() <= present)
+        return;
+    this->world.routes = std::move(routes);
+    this->world.log(LogLevel::Info, "configuration-in-force",
+                    {{"version", std::to_string(this->world.routes->version())},
+                     {"earlier", std::to_string(present)},
+                     {"routes", std::to_string(this->world.routes->size())}});
+    this->directory.servicesChanged();
+}
+
+void PoolCore::entryChanged(TimePoint now, const ServerEntry &entry)
+{
+    this->world.now = now;
+    this->directory.entryChanged(entry);
+    this->adoptClaimedPrimary(entry);
+}
+
+void PoolCore::entryRemoved(TimePoint now, std::string_view id)
+{
+    this->world.now = now;
+    this->directory.entryRemoved(id);
+}
+
+void PoolCore::entriesListed(TimePoint now, const std::vector<ServerEntry> &entries)
+{
+    this->world.now = now;
+    this->directory.entriesListed(entries);
+    for (const ServerEntry &entry : entries)
+        this->adoptClaimedPrimary(entry);
+}
+
+void PoolCore::adoptClaimedPrimary(const ServerEntry &entry)
+{
+    if (!entry.claimsPrimary)
+        return;
+    const ServerId id = this->world.serverById.at(entry.id);
+    ServiceRow &service = this->world.services.at(this->world.servers.at(id).service);
+    if (service.primary == id)
+        return;
+    service.primary = id;
+    service.leadership += 1;
+    service.positions.clear();
+    service.currentAt = this->world.now + std::chrono::hours(24);
+    this->dispatch.drain(this->world.servers.at(id).service);
+}
+
+void PoolCore::tick(TimePoint now)
+{
+    this->world.now = now;
+    while (const auto entry = this->world.timers.take(now))
+        this->handleTimer(*entry);
+}
+
+void PoolCore::handleTimer(const TimerQueue::Entry &entry)
+{
+    switch (entry.kind) {
+    case TimerKind::WorkDeadline:
+        this->dispatch.checkWork(SessionId::fromPacked(entry.subject));
+        return;
+    case TimerKind::TransactionIdle:
+        this->sessions.checkIdleTransaction(SessionId::fromPacked(entry.subject));
+        return;
+    case TimerKind::LinkDeadline: {
+        const LinkId link = LinkId::fromPacked(entry.subject);
+        const LinkRow *row = this->world.links.find(link);
+        if (row != nullptr && row->deadline.count() != 0 && this->world.now >= row->deadline)
+            this->dispatch.linkLost(link, LinkEnd::Silent);
+        return;
+    }
+    case TimerKind::ServerRetry: {
+        const ServerId server = ServerId::fromPacked(entry.subject);
+        if (!this->world.servers.contains(server))
+            return;
+        if (this->world.servers.at(server).links.empty())
+            this->links.ensureOpening(server);
+        this->dispatch.drain(this->world.servers.at(server).service);
+        return;
+    }
+    case TimerKind::ServerMissing:
+        this->directory.checkMissing(ServerId::fromPacked(entry.subject));
+        return;
+    case TimerKind::ServiceCheck:
+        this->dispatch.drain(ServiceId::fromPacked(entry.subject));
+        return;
+    case TimerKind::Stop: {
+        const Duration stopping = this->world.now - this->world.stopRequestedAt;
+        this->sessions.closeIdle(stopping >= this->world.options.stopTransactions);
+        this->world.timers.add(this->world.now + std::chrono::milliseconds(50), TimerKind::Stop);
+        return;
+    }
+    }
+}
+
+void PoolCore::requestStop(TimePoint now)
+{
+    this->world.now = now;
+    if (this->world.stopping)
+        return;
+    this->world.stopping = true;
+    this->world.stopRequestedAt = now;
+    this->world.log(LogLevel::Info, "stop-requested", {{"sessions", std::to_string(this->world.sessions.size())}});
+    this->world.timers.add(now + this->world.options.stopDrainDelay, TimerKind::Stop);
+}
+
+bool PoolCore::isStopped() const
+{
+    if (!this->world.stopping)
+        return false;
+    const Duration stopping = this->world.now - this->world.stopRequestedAt;
+    return stopping >= this->world.options.stopLimit
+           || (stopping >= this->world.options.stopDrainDelay && this->world.sessions.size() == 0);
+}
+
+bool PoolCore::isReady() const
+{
+    return !this->world.stopping && this->world.routes != nullptr && this->world.servers.size() > 0;
+}
+
+PoolActions PoolCore::takeActions()
+{
+    PoolActions taken;
+    taken.swap(this->world.actions);
+    return taken;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/poolcore.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "pool/directorysystem.h"
+#include "pool/dispatchsystem.h"
+#include "pool/linksystem.h"
+#include "pool/poolworld.h"
+#include "pool/sessionsystem.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// Decides for one instance what happens to callers' statements. Has no socket, clock, thread or random source: the
+/// shell hands in what has happened with the time, and carries out the actions in order. The same inputs give the same
+/// state. Owned by the shell; one thread.
+class PoolCore final
+{
+public:
+    explicit PoolCore(PoolOptions options);
+    PoolCore(const PoolCore &) = delete;
+    PoolCore &operator=(const PoolCore &) = delete;
+
+    /// A caller's connection was accepted; it has not yet named its database.
+    [[nodiscard]] SessionId callerConnected(TimePoint now);
+    void callerOpens(TimePoint now, SessionId session, const std::string &database);
+    void callerRuns(TimePoint now, SessionId session, Statement statement);
+    /// The caller said goodbye or its connection ended.
+    void callerEnds(TimePoint now, SessionId session);
+
+    void linkAnswers(TimePoint now, LinkId link, ServerMessage message);
+    void linkEnds(TimePoint now, LinkId link, LinkEnd end);
+
+    /// A configuration was read from the store. One that is older than the present one is ignored.
+    void routesReceived(TimePoint now, std::shared_ptr<const RouteTable> routes);
+    void entryChanged(TimePoint now, const ServerEntry &entry);
+    void entryRemoved(TimePoint now, std::string_view id);
+    void entriesListed(TimePoint now, const std::vector<ServerEntry> &entries);
+
+    /// Runs what is due.
+    void tick(TimePoint now);
+    [[nodiscard]] std::optional<TimePoint> nextDue() const { return this->world.timers.next(); }
+
+    /// Planned stop: what runs is finished first.
+    void requestStop(TimePoint now);
+    /// The planned stop is complete.
+    [[nodiscard]] bool isStopped() const;
+    /// New callers may be sent here.
+    [[nodiscard]] bool isReady() const;
+
+    /// Actions since the last call, in order.
+    [[nodiscard]] PoolActions takeActions();
+    [[nodiscard]] const PoolWorld &state() const { return this->world; }
+
+private:
+    void handleTimer(const TimerQueue::Entry &entry);
+    void adoptClaimedPrimary(const ServerEntry &entry);
+
+    PoolWorld world;
+    LinkSystem links;
+    DispatchSystem dispatch;
+    SessionSystem sessions;
+    DirectorySystem directory;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/poolmessages.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "pool/calleroutcome.h"
+#include "session/logposition.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Messages of the statement protocol, towards callers and towards backend servers.
+namespace Jujubekeel {
+
+/// State of a session as its callers see it, and of a connection as a backend server reports it.
+enum class SessionState : std::uint8_t {
+    Idle,
+    InTransaction,
+    Failed, ///< the transaction can only be ended, which rolls it back
+};
+
+enum class ServerMessageKind : std::uint8_t { Row, Done, Error, Ready };
+
+/// One message of a backend server.
+struct ServerMessage
+{
+    ServerMessageKind kind = ServerMessageKind::Row;
+    std::string text; ///< Row: its content; Done: the digest
+    OutcomeError error;
+    SessionState state = SessionState::Idle;
+    std::optional<LogPosition> position; ///< Ready: applied position of the server's log
+};
+
+enum class CommandKind : std::uint8_t {
+    Open,          ///< name: service; argument: expected id of the server
+    Forward,       ///< text of the caller
+    Execute,       ///< name: as prepared on this connection; argument: what follows the name
+    Begin,
+    BeginReadOnly,
+    Rollback,
+    SetValue, ///< name, argument: the value
+    PrepareRead,  ///< name, argument: the shape
+    PrepareWrite, ///< name, argument: the shape
+    ResetSession, ///< clears values and prepared statements; the answer carries the log position
+    Status,
+    PauseReplication, ///< term: above the newest one
+    ResumeReplication,
+    StepDown, ///< term: above the server's own
+    Close,
+};
+
+/// One message to a backend server.
+struct ServerCommand
+{
+    CommandKind kind = CommandKind::Forward;
+    std::string id; ///< of the caller's statement; empty for statements that the proxy issues itself
+    std::optional<LogPosition> after; ///< reads and Begin: the server's log must hold this position
+    std::string name;
+    std::string argument;
+    std::uint64_t term = 0;
+};
+
+/// What a backend server says of its part in replication.
+struct ReplicationStatus
+{
+    bool isPrimary = false;
+    std::uint64_t term = 0;
+    LogPosition received;       ///< may be ahead of the applied position
+    std::uint64_t heldTerm = 0; ///< term of a PauseReplication in force; 0: none
+};
+
+/// Complete answer to one statement of a caller.
+struct CallerReply
+{
+    std::vector<std::string> rows;
+    std::string digest; ///< empty if the proxy answered itself
+    std::optional<OutcomeError> error;
+    SessionState state = SessionState::Idle;
+    std::optional<LogPosition> position;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/pooloptions.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Jujubekeel {
+
+/// Limits of the statement pool. Durations are on the boot-time clock, which counts suspension.
+struct PoolOptions
+{
+    std::string instance;
+    std::string failureDomain;
+    std::string region;
+    std::map<std::string, std::string, std::less<>> regionOf; ///< by failure domain
+
+    std::uint32_t expectedInstances = 6; ///< divides a server's connections until more members are known
+    std::uint32_t linksPerServer = 3;    ///< connections of this instance to one backend server, at most
+    std::uint32_t spareConnections = 2;  ///< of each server, kept free for restarts and for promotion
+
+    Duration queueWait = std::chrono::milliseconds(800);     ///< wait for a connection before Busy
+    Duration primaryWait = std::chrono::milliseconds(3000);  ///< the same while the primary is being replaced
+    Duration openTimeout = std::chrono::milliseconds(1000);  ///< connect and greeting
+    Duration retryFirst = std::chrono::milliseconds(100);    ///< pause after a failed connect; doubles
+    Duration retryLast = std::chrono::milliseconds(800);
+    Duration laggingPause = std::chrono::milliseconds(100);  ///< a replica that lacked a position is passed over
+    Duration laggingPauseLast = std::chrono::milliseconds(800);
+    Duration sampleInterval = std::chrono::milliseconds(20); ///< between two kept positions of a primary
+    Duration sampleKeep = std::chrono::seconds(4);
+    Duration drainWork = std::chrono::seconds(4); ///< a draining primary without successor gets new work this long
+    Duration crossDomainCost = std::chrono::milliseconds(3);  ///< added to the expected wait when choosing a server
+    Duration crossRegionCost = std::chrono::milliseconds(20);
+    Duration authorityLease = std::chrono::milliseconds(2000); ///< age up to which the authority record is acted on
+
+    Duration stopDrainDelay = std::chrono::milliseconds(2200);   ///< idle sessions stay until traffic has moved away
+    Duration stopTransactions = std::chrono::milliseconds(3600); ///< after this open transactions are rolled back
+    Duration stopLimit = std::chrono::milliseconds(5200);        ///< after this the process ends in any case
+
+    std::size_t resultLimit = std::size_t{4} * 1024 * 1024; ///< bytes of one result
+    std::size_t backlogLimit = 64;                          ///< statements that a caller may send ahead
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/poolworld.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "catalog/routetable.h"
+#include "core/table.h"
+#include "observe/counters.h"
+#include "pool/linkrow.h"
+#include "pool/poolactions.h"
+#include "pool/pooloptions.h"
+#include "pool/serverrow.h"
+#include "pool/servicerow.h"
+#include "pool/sessionrow.h"
+#include "pool/timerqueue.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// All state of one instance's statement pool: flat tables that the systems run over. Owned by PoolCore and touched only
+/// within its inputs.
+struct PoolWorld
+{
+    PoolOptions options;
+    TimePoint now{0};
+    Table<SessionId, SessionRow> sessions;
+    Table<LinkId, LinkRow> links;
+    Table<ServerId, ServerRow> servers;
+    Table<ServiceId, ServiceRow> services;
+    std::unordered_map<std::string, ServerId> serverById;
+    std::unordered_map<std::string, ServiceId> serviceByName;
+    std::shared_ptr<const RouteTable> routes; ///< null: no configuration has been received
+    std::uint32_t instances = 1;              ///< instances that share the servers' connections
+    bool stopping = false;
+    TimePoint stopRequestedAt{0};
+    TimerQueue timers;
+    Counters counters;
+    PoolActions actions; ///< of the present input
+
+    template <typename Action>
+    void emit(Action action)
+    {
+        this->actions.push_back(PoolAction{std::move(action)});
+    }
+    void log(LogLevel level, std::string event, std::vector<std::pair<std::string, std::string>> fields)
+    {
+        this->emit(WriteLog{.level = level, .event = std::move(event), .fields = std::move(fields)});
+    }
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/positionhistory.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/time.h"
+#include "session/logposition.h"
+
+#include <deque>
+#include <optional>
+
+namespace Jujubekeel {
+
+struct PositionHistoryOptions
+{
+    Duration interval = std::chrono::milliseconds(20); ///< questions closer than this replace each other
+    Duration keep = std::chrono::seconds(4);
+};
+
+/// Log positions that the primary of one service reported, each with the time at which the question was sent. A position
+/// covers every commit acknowledged before that time, by whichever proxy. Owned by ServiceRow; cleared when the primary
+/// changes.
+class PositionHistory final
+{
+public:
+    explicit PositionHistory(PositionHistoryOptions historyOptions = {}) : options(historyOptions) {}
+
+    void add(TimePoint askedAt, LogPosition position, TimePoint now);
+    void clear() { this->samples.clear(); }
+
+    /// The lowest known position that covers every commit acknowledged up to \a moment; empty if none does.
+    [[nodiscard]] std::optional<LogPosition> covering(TimePoint moment) const;
+    [[nodiscard]] std::optional<LogPosition> newest() const;
+    /// When the question of the newest sample was sent.
+    [[nodiscard]] std::optional<TimePoint> newestAskedAt() const;
+
+private:
+    struct Sample
+    {
+        TimePoint askedAt{0};
+        LogPosition position;
+    };
+
+    PositionHistoryOptions options;
+    std::deque<Sample> samples; ///< ascending in both members
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/serverchooser.cpp
@@ -0,0 +1,88 @@
+#include "pool/serverchooser.h"
+
+#include "pool/poolworld.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Jujubekeel {
+
+namespace {
+
+/// Writes and reads of `primary` routes run nowhere else, so other reads leave the primary to them unless the replicas
+/// are this much more loaded.
+constexpr std::int64_t primaryReadFactor = 2;
+
+} // namespace
+
+bool ServerChooser::primaryUsable(ServiceId service) const
+{
+    const ServiceRow &row = this->world.services.at(service);
+    return row.primary.isValid() && !row.changing && this->takesNewWork(row.primary)
+           && this->world.now - row.currentAt < this->world.options.authorityLease;
+}
+
+std::optional<LogPosition> ServerChooser::requiredPosition(const SessionRow &session, ServiceId service) const
+{
+    const ServiceRow &row = this->world.services.at(service);
+    auto required = row.positions.covering(session.work->consistentAt);
+    // Positions of an earlier leadership may have been rolled back; any position of the present one covers what is left.
+    if (required && session.markLeadership == row.leadership)
+        required = std::max(*required, session.mark);
+    return required;
+}
+
+bool ServerChooser::takesNewWork(ServerId server) const
+{
+    const ServerRow &row = this->world.servers.at(server);
+    if (!row.listed)
+        return false;
+    return !row.entry.draining || this->world.now - row.drainingSince < this->world.options.drainWork;
+}
+
+Duration ServerChooser::expectedWait(ServerId server, bool isPrimary) const
+{
+    const ServerRow &row = this->world.servers.at(server);
+    const PoolOptions &options = this->world.options;
+    Duration wait = row.responseTime * (row.running + 1);
+    if (isPrimary)
+        wait *= primaryReadFactor;
+    if (row.entry.failureDomain != options.failureDomain) {
+        const auto region = options.regionOf.find(row.entry.failureDomain);
+        const bool sameRegion = region != options.regionOf.end() && region->second == options.region;
+        wait += sameRegion ? options.crossDomainCost : options.crossRegionCost;
+    }
+    return wait;
+}
+
+std::vector<ServerId> ServerChooser::forRead(const SessionRow &session, ServiceId service,
+                                             std::optional<LogPosition> required) const
+{
+    const ServiceRow &row = this->world.services.at(service);
+    const std::vector<ServerId> &excluded = session.work->excluded;
+    std::vector<std::pair<Duration, ServerId>> candidates;
+    for (const ServerId id : row.servers) {
+        const bool isPrimary = id == row.primary;
+        const ServerRow &server = this->world.servers.at(id);
+        if (!this->takesNewWork(id) || std::find(excluded.begin(), excluded.end(), id) != excluded.end())
+            continue;
+        if (isPrimary ? row.changing : !required.has_value())
+            continue;
+        if (isPrimary && !required && !this->primaryUsable(service))
+            continue;
+        if (!isPrimary && server.entry.draining && row.servers.size() > 1)
+            continue;
+        if (!isPrimary && this->world.now < server.behindUntil && server.applied < *required)
+            continue;
+        candidates.emplace_back(this->expectedWait(id, isPrimary), id);
+    }
+    std::sort(candidates.begin(), candidates.end());
+
+    std::vector<ServerId> ordered;
+    ordered.reserve(candidates.size());
+    for (const auto &[wait, id] : candidates)
+        ordered.push_back(id);
+    return ordered;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/servicerow.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "pool/poolids.h"
+#include "pool/positionhistory.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// One group of backend servers. Written by DirectorySystem and LeadershipSystem.
+struct ServiceRow
+{
+    std::string name;
+    std::vector<ServerId> servers;
+    std::vector<SessionId> queue; ///< sessions whose work waits for a link, in order of arrival
+
+    ServerId primary;             ///< invalid: unknown
+    std::string primaryId;        ///< backend server that leads; kept while its entry is away
+    std::uint64_t leadership = 1; ///< rises with each change of the primary that this instance learns of
+    bool changing = false;        ///< a replacement is under way: no new work is sent to the primary
+    bool released = false;        ///< this instance has agreed to the replacement: no result of the primary counts
+    TimePoint currentAt{0};       ///< the leadership was proved unchanged at this moment
+    PositionHistory positions;
+    bool positionAsked = false; ///< a question for the position is under way
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/sessionsystem.cpp
@@ -0,0 +1,337 @@
+#include "pool/sessionsystem.h"
+
+#include "pool/dispatchsystem.h"
+#include "pool/poolworld.h"
+
+#include <cassert>
+#include <utility>
+#include <vector>
+
+namespace Jujubekeel {
+
+namespace {
+
+std::string_view codeName(OutcomeCode code)
+{
+    switch (code) {
+    case OutcomeCode::Busy:
+        return "busy";
+    case OutcomeCode::Aborted:
+        return "aborted";
+    case OutcomeCode::Lagging:
+        return "lagging";
+    case OutcomeCode::ReadOnly:
+        return "read-only";
+    case OutcomeCode::Misrouted:
+        return "misrouted";
+    case OutcomeCode::Overload:
+        return "overload";
+    case OutcomeCode::Failed:
+        return "failed";
+    case OutcomeCode::UnknownName:
+        return "unknown-name";
+    case OutcomeCode::Timeout:
+        return "timeout";
+    case OutcomeCode::InDoubt:
+        return "in-doubt";
+    case OutcomeCode::NoDatabase:
+        return "no-database";
+    case OutcomeCode::TooLarge:
+        return "too-large";
+    case OutcomeCode::Malformed:
+        return "malformed";
+    case OutcomeCode::Denied:
+        return "denied";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+void SessionSystem::open(SessionId id, const std::string &database)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    session.database = database;
+    session.lastActiveAt = this->world.now;
+    if (!this->world.routes) {
+        this->world.emit(RefuseCaller{.session = id,
+                                      .error = {.code = OutcomeCode::Busy, .text = "no configuration received yet"}});
+        this->world.sessions.erase(id);
+        return;
+    }
+    if (!this->world.routes->find(database)) {
+        this->world.counters.add("jujubekeel_pool_unknown_database_total");
+        this->world.emit(RefuseCaller{
+            .session = id,
+            .error = {.code = OutcomeCode::NoDatabase,
+                      .text = "no route in version " + std::to_string(this->world.routes->version())}});
+        this->world.sessions.erase(id);
+        return;
+    }
+    this->world.emit(GreetCaller{.session = id});
+}
+
+void SessionSystem::run(SessionId id, Statement statement)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    session.lastActiveAt = this->world.now;
+    if (session.work || !session.backlog.empty()) {
+        if (session.backlog.size() >= this->world.options.backlogLimit) {
+            this->end(id);
+            this->world.emit(CloseCaller{.session = id});
+            return;
+        }
+        session.backlog.push_back(std::move(statement));
+        return;
+    }
+    this->start(id, std::move(statement));
+}
+
+void SessionSystem::runNext(SessionId id)
+{
+    while (SessionRow *session = this->world.sessions.find(id)) {
+        if (session->work || session->backlog.empty())
+            return;
+        Statement statement = std::move(session->backlog.front());
+        session->backlog.pop_front();
+        this->start(id, std::move(statement));
+    }
+}
+
+void SessionSystem::start(SessionId id, Statement statement)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    const bool ends = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
+    if (session.state == SessionState::Failed && !ends) {
+        this->refuse(id, OutcomeCode::Malformed, "the transaction has failed and can only be ended",
+                     SessionState::Failed);
+        return;
+    }
+    switch (statement.kind) {
+    case StatementKind::Begin:
+    case StatementKind::BeginReadOnly:
+        this->begin(id, statement);
+        return;
+    case StatementKind::Rollback:
+        this->rollBack(id, statement);
+        return;
+    case StatementKind::SetValue:
+        session.values.insert_or_assign(statement.name, statement.argument);
+        this->answer(id, session.state);
+        return;
+    case StatementKind::Prepare:
+        session.prepared.insert_or_assign(
+            statement.name, PreparedStatement{.writes = statement.prepares, .shape = statement.argument});
+        this->answer(id, session.state);
+        return;
+    case StatementKind::Deallocate:
+        if (session.prepared.erase(statement.name) == 0)
+            this->failInTransaction(id, OutcomeCode::UnknownName, "no prepared statement " + statement.name);
+        else
+            this->answer(id, session.state);
+        return;
+    case StatementKind::Malformed:
+        this->failInTransaction(id, OutcomeCode::Malformed, "not a statement");
+        return;
+    case StatementKind::Execute:
+        if (!session.prepared.contains(statement.name)) {
+            this->failInTransaction(id, OutcomeCode::UnknownName, "no prepared statement " + statement.name);
+            return;
+        }
+        break;
+    case StatementKind::Commit:
+        if (session.state != SessionState::InTransaction) {
+            this->commitWithoutServer(id);
+            return;
+        }
+        break;
+    default:
+        break;
+    }
+    this->startWork(id, std::move(statement));
+}
+
+void SessionSystem::begin(SessionId id, const Statement &statement)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    if (session.state != SessionState::Idle) {
+        this->refuse(id, OutcomeCode::Malformed, "a transaction is open", session.state);
+        return;
+    }
+    if (!this->resolveRoute(id))
+        return;
+    // The server's side begins with the first statement, so that pauses before it hold no connection.
+    session.transaction = TransactionState{.readOnly = statement.kind == StatementKind::BeginReadOnly,
+                                           .startedAt = this->world.now,
+                                           .lastActiveAt = this->world.now};
+    this->answer(id, SessionState::InTransaction);
+}
+
+void SessionSystem::rollBack(SessionId id, const Statement &)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    if (session.state == SessionState::Idle) {
+        this->refuse(id, OutcomeCode::Malformed, "no transaction is open", SessionState::Idle);
+        return;
+    }
+    this->dispatch.rollBack(id);
+    session.transaction.reset();
+    this->answer(id, SessionState::Idle);
+}
+
+void SessionSystem::commitWithoutServer(SessionId id)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    if (session.state == SessionState::Idle) {
+        this->refuse(id, OutcomeCode::Malformed, "no transaction is open", SessionState::Idle);
+        return;
+    }
+    this->dispatch.rollBack(id);
+    session.transaction.reset();
+    this->refuse(id, OutcomeCode::Aborted, "the transaction had failed and is rolled back", SessionState::Idle);
+}
+
+bool SessionSystem::resolveRoute(SessionId id)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    session.route = this->world.routes->find(session.database);
+    if (session.route)
+        return true;
+    this->refuse(id, OutcomeCode::NoDatabase, "the route was removed by version "
+                     + std::to_string(this->world.routes->version()), SessionState::Idle);
+    return false;
+}
+
+void SessionSystem::startWork(SessionId id, Statement statement)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    if (!session.transaction && !this->resolveRoute(id))
+        return;
+    if (session.transaction && session.transaction->lost) {
+        // Its commit was never sent, so nothing of it is kept.
+        const bool commit = statement.kind == StatementKind::Commit;
+        if (commit)
+            session.transaction.reset();
+        this->refuse(id, OutcomeCode::Aborted, "the transaction was rolled back",
+                     commit ? SessionState::Idle : SessionState::Failed);
+        return;
+    }
+
+    const Route &route = *session.route;
+    bool writes = statement.kind == StatementKind::Write;
+    if (statement.kind == StatementKind::Execute)
+        writes = session.prepared.find(statement.name)->second.writes;
+    const TimePoint asked = session.transaction ? session.transaction->startedAt : this->world.now;
+    PendingWork work{.statement = std::move(statement), .arrivedAt = this->world.now};
+    work.writes = writes;
+    work.needsPrimary = writes || route.consistency == ReadConsistency::Primary
+                        || (session.transaction && !session.transaction->readOnly);
+    work.giveUpAt = this->world.now + this->world.options.queueWait;
+    work.consistentAt = asked - route.maxStaleness;
+    session.work = std::move(work);
+    if (session.transaction)
+        session.transaction->lastActiveAt = this->world.now;
+    this->dispatch.submit(id);
+}
+
+void SessionSystem::finished(SessionId id, CallerReply reply)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    assert(session.work);
+    const PendingWork &work = *session.work;
+    const Duration took = this->world.now - work.arrivedAt;
+    if (reply.error) {
+        this->world.counters.add("jujubekeel_pool_refused_total{code=\"" + std::string(codeName(reply.error->code))
+                                 + "\"}");
+        this->world.log(LogLevel::Info, "statement-failed",
+                        {{"request", work.statement.id},
+                         {"database", session.database},
+                         {"route", session.route->name},
+                         {"routeVersion", std::to_string(session.route->version)},
+                         {"code", std::string(codeName(reply.error->code))},
+                         {"reason", reply.error->text},
+                         {"sent", work.sent ? "true" : "false"},
+                         {"attempts", std::to_string(work.attempts)},
+                         {"tookMs", std::to_string(took.count() / 1000)}});
+    } else {
+        this->world.counters.add("jujubekeel_pool_answered_total");
+    }
+
+    const bool commit = work.statement.kind == StatementKind::Commit;
+    session.work.reset();
+    session.state = reply.state;
+    session.lastActiveAt = this->world.now;
+    if (commit || session.state == SessionState::Idle)
+        session.transaction.reset();
+    if (session.transaction && session.transaction->link.isValid()) {
+        session.transaction->lastActiveAt = this->world.now;
+        const Duration limit = this->world.routes->transactionIdleLimit();
+        this->world.timers.add(this->world.now + limit, TimerKind::TransactionIdle, id.packed());
+    }
+    this->world.emit(ReplyToCaller{.session = id, .reply = std::move(reply)});
+    this->runNext(id);
+}
+
+void SessionSystem::checkIdleTransaction(SessionId id)
+{
+    SessionRow *session = this->world.sessions.find(id);
+    if (session == nullptr || session->work || !session->transaction || !session->transaction->link.isValid())
+        return;
+    const Duration limit = this->world.routes->transactionIdleLimit();
+    if (this->world.now - session->transaction->lastActiveAt < limit)
+        return;
+    this->world.log(LogLevel::Info, "idle-transaction-ended", {{"database", session->database}});
+    this->dispatch.rollBack(id);
+    session->transaction->lost = true;
+}
+
+void SessionSystem::end(SessionId id)
+{
+    if (!this->world.sessions.contains(id))
+        return;
+    this->dispatch.abandon(id);
+    this->world.sessions.erase(id);
+}
+
+void SessionSystem::closeIdle(bool endTransactions)
+{
+    std::vector<SessionId> idle;
+    this->world.sessions.forEach([&](SessionId id, SessionRow &session) {
+        if (session.work || !session.backlog.empty())
+            return;
+        if (session.state == SessionState::Idle || endTransactions)
+            idle.push_back(id);
+    });
+    for (const SessionId id : idle) {
+        this->end(id);
+        this->world.emit(CloseCaller{.session = id});
+    }
+}
+
+void SessionSystem::answer(SessionId id, SessionState state)
+{
+    this->world.sessions.at(id).state = state;
+    this->world.emit(ReplyToCaller{.session = id, .reply = CallerReply{.state = state}});
+}
+
+void SessionSystem::refuse(SessionId id, OutcomeCode code, std::string text, SessionState state)
+{
+    this->world.sessions.at(id).state = state;
+    this->world.counters.add("jujubekeel_pool_refused_total{code=\"" + std::string(codeName(code)) + "\"}");
+    this->world.emit(ReplyToCaller{
+        .session = id, .reply = CallerReply{.error = OutcomeError{.code = code, .text = std::move(text)},
+                                            .state = state}});
+}
+
+void SessionSystem::failInTransaction(SessionId id, OutcomeCode code, std::string text)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    const bool open = session.state != SessionState::Idle;
+    if (open) {
+        this->dispatch.rollBack(id);
+        session.transaction->lost = true;
+    }
+    this->refuse(id, code, std::move(text), open ? SessionState::Failed : SessionState::Idle);
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/sessionsystem.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "pool/poolids.h"
+#include "pool/poolmessages.h"
+#include "pool/statement.h"
+
+#include <string>
+
+namespace Jujubekeel {
+
+class DispatchSystem;
+struct PoolWorld;
+struct SessionRow;
+
+/// Callers' sessions: answers what needs no backend server, and turns the rest into pending work. Owned by PoolCore.
+class SessionSystem final
+{
+public:
+    SessionSystem(PoolWorld &poolWorld, DispatchSystem &dispatchSystem) : world(poolWorld), dispatch(dispatchSystem) {}
+
+    /// A caller asks for a session on a database.
+    void open(SessionId session, const std::string &database);
+    void run(SessionId session, Statement statement);
+    /// The caller ends the session, or its connection has ended.
+    void end(SessionId session);
+    /// The pending work of a session has its answer.
+    void finished(SessionId session, CallerReply reply);
+    /// A transaction may have rested for too long.
+    void checkIdleTransaction(SessionId session);
+    /// Planned stop: closes sessions that are between two operations; later also ends open transactions.
+    void closeIdle(bool endTransactions);
+
+private:
+    void runNext(SessionId session);
+    void start(SessionId session, Statement statement);
+    void begin(SessionId session, const Statement &statement);
+    void rollBack(SessionId session, const Statement &statement);
+    void commitWithoutServer(SessionId session);
+    void startWork(SessionId session, Statement statement);
+    [[nodiscard]] bool resolveRoute(SessionId session);
+    void answer(SessionId session, SessionState state);
+    void refuse(SessionId session, OutcomeCode code, std::string text, SessionState state);
+    void failInTransaction(SessionId session, OutcomeCode code, std::string text);
+
+    PoolWorld &world;
+    DispatchSystem &dispatch;
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/programs/jujubekeel-entry/main.cpp
@@ -0,0 +1,85 @@
+#include "entryshell.h"
+#include "net/logger.h"
+#include "programs/commandline/commandline.h"
+#include "settingsreader.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <string>
+
+namespace {
+
+using namespace Jujubekeel;
+
+constexpr int exitOk = 0;
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+constexpr const char *settingsVariable = "JUJUBEKEEL_SETTINGS";
+
+constexpr const char *usage = R"(Database proxy with session consistency: entry instance for the statement protocol.
+
+Usage:
+  jujubekeel-entry [--settings=FILE] [--check] [--log-level=LEVEL]
+  jujubekeel-entry (--help | --version)
+
+Options:
+  --settings=FILE    settings of this instance (YAML); by default the file that JUJUBEKEEL_SETTINGS names
+  --check            only check the settings
+  --log-level=LEVEL  lowest level that is written: debug, info, warning or error [default: info]
+  -h --help          show this text
+  --version          show the version
+
+SIGTERM and SIGINT start a planned stop: requests in flight are finished first. SIGHUP reads the settings again.
+Exit status: 0 after a planned stop, 1 after a failure at run time, 2 for errors in usage or settings.
+)";
+
+LogLevel toLevel(const std::string &name)
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "info")
+        return LogLevel::Info;
+    if (name == "warning")
+        return LogLevel::Warning;
+    if (name == "error")
+        return LogLevel::Error;
+    CommandLine::fail("--log-level: " + name + " is not one of debug, info, warning, error");
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    const CommandLine options(usage, "jujubekeel-entry " JUJUBEKEEL_VERSION, argumentCount, arguments);
+    std::string file = options.text("--settings");
+    const char *named = std::getenv(settingsVariable);
+    if (file.empty() && named != nullptr)
+        file = named;
+    if (file.empty())
+        CommandLine::fail(std::string("no settings file: give --settings or set ") + settingsVariable);
+
+    LastReason reason;
+    auto settings = readEntrySettings(file, reason);
+    if (!settings) {
+        std::cerr << "jujubekeel-entry: error " << static_cast<int>(reason.code()) << ": " << reason.text() << '\n';
+        return exitUsage;
+    }
+    if (options.isGiven("--check")) {
+        std::cout << "settings are valid\n";
+        return exitOk;
+    }
+    // Writing to a connection that the other side has closed is an error of that call only.
+    std::signal(SIGPIPE, SIG_IGN);
+    Logger logger({.instance = settings->instance, .level = toLevel(options.text("--log-level"))});
+    try {
+        EntryShell shell(std::move(*settings), file, logger);
+        shell.run();
+        return exitOk;
+    } catch (const std::exception &error) {
+        logger.write(LogLevel::Error, "failed", {{"reason", error.what()}});
+        return exitFailure;
+    }
+}
