Prove the primary's leadership and replace primaries

Cause: a leaving primary was never replaced, and results of a replaced one would have been believed. Ruled out: leadership from the entries' own claims; a lease of a second kept fresh by the store alone, which stops writes in each short outage.

--- /dev/null
+++ b/src/leadership/leadershiprecord.cpp
@@ -0,0 +1,31 @@
+#include "leadership/leadershiprecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Jujubekeel {
+
+std::string LeadershipRecord::toText() const
+{
+    return nlohmann::json{{"epoch", this->epoch},
+                          {"primary", this->primary},
+                          {"changing", this->changing},
+                          {"planned", this->planned},
+                          {"holder", this->holder}}
+        .dump();
+}
+
+std::optional<LeadershipRecord> LeadershipRecord::fromText(std::string_view text)
+{
+    try {
+        const auto root = nlohmann::json::parse(text.begin(), text.end());
+        return LeadershipRecord{.epoch = root.at("epoch").get<std::uint64_t>(),
+                                .primary = root.at("primary").get<std::string>(),
+                                .changing = root.at("changing").get<bool>(),
+                                .planned = root.at("planned").get<bool>(),
+                                .holder = root.at("holder").get<std::string>()};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/leadership/leadershipsystem.cpp
@@ -0,0 +1,360 @@
+#include "leadership/leadershipsystem.h"
+
+#include "pool/dispatchsystem.h"
+#include "pool/poolworld.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace Jujubekeel {
+
+LeadershipSystem::LeadershipSystem(PoolWorld &poolWorld, DispatchSystem &dispatchSystem,
+                                   LeadershipOptions leadershipOptions)
+    : world(poolWorld), dispatch(dispatchSystem), options(leadershipOptions)
+{
+}
+
+void LeadershipSystem::start(std::uint64_t incarnation)
+{
+    this->desired.incarnation = incarnation;
+    this->world.timers.add(this->world.now + this->options.checkInterval, TimerKind::Leadership);
+}
+
+void LeadershipSystem::newsReceived(const FleetNews &news)
+{
+    this->view.apply(news, this->world.now);
+    const FleetView::Member *own = this->view.member(this->world.options.instance);
+    if (own != nullptr)
+        this->ownRevision = std::max(this->ownRevision, own->revision);
+    const bool foreign = own == nullptr ? this->view.revision() >= this->ownRevision
+                                        : own->revision >= this->ownRevision
+                                              && own->record.incarnation != this->desired.incarnation;
+    if (this->registered && foreign) {
+        this->registered = false;
+        this->ownRevision = own == nullptr ? 0 : own->revision;
+    } else if (own == nullptr && !this->registered && this->writeCall == 0) {
+        this->ownRevision = 0;
+    }
+    this->world.instances = static_cast<std::uint32_t>(std::max<std::size_t>(this->view.members().size(), 1));
+
+    this->acceptEvidence(news.askedAt);
+    this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->refresh(id); });
+    this->publish();
+}
+
+void LeadershipSystem::acceptEvidence(TimePoint askedAt)
+{
+    if (!this->registered || askedAt < this->registeredAt)
+        return;
+    // After a lapse others may have stopped waiting for this instance; it registers anew before it goes on.
+    if (this->evidenceAt.count() != 0 && this->world.now - this->evidenceAt > this->world.options.authorityLease) {
+        this->world.log(LogLevel::Warning, "leadership-lapsed",
+                        {{"ageMs", std::to_string((this->world.now - this->evidenceAt).count() / 1000)}});
+        this->registered = false;
+        this->evidenceAt = TimePoint{0};
+        this->desired.renewals += 1;
+        return;
+    }
+    this->evidenceAt = std::max(this->evidenceAt, askedAt);
+}
+
+bool LeadershipSystem::writeFinished(const WriteOutcome &outcome)
+{
+    if (outcome.call == 0 || outcome.call != this->writeCall)
+        return false;
+    this->writeCall = 0;
+    if (this->unregistering) {
+        this->unregistered = true;
+        return true;
+    }
+    if (outcome.result == WriteResult::Ok) {
+        this->ownRevision = outcome.revision;
+        if (!this->registered) {
+            this->registered = true;
+            this->registeredAt = this->world.now;
+            this->world.log(LogLevel::Info, "registered", {{"revision", std::to_string(outcome.revision)},
+                                                           {"renewals", std::to_string(this->written.renewals)}});
+        }
+    } else {
+        this->written = MemberRecord{};
+        this->writeAgainAt = this->world.now + this->options.writeRetry;
+    }
+    this->publish();
+    return true;
+}
+
+void LeadershipSystem::publish()
+{
+    if (this->view.revision() == 0 || this->writeCall != 0 || this->unregistering)
+        return;
+    if (this->world.now < this->writeAgainAt || (this->registered && this->desired == this->written))
+        return;
+    this->written = this->desired;
+    this->writeCall = this->world.takeCall();
+    this->world.emit(WriteFleetObject{.call = this->writeCall,
+                                      .name = FleetView::memberName(this->world.options.instance),
+                                      .expectedRevision = this->ownRevision,
+                                      .content = this->written.toText()});
+}
+
+void LeadershipSystem::unregister()
+{
+    if (this->unregistering)
+        return;
+    this->unregistering = true;
+    if (this->ownRevision == 0) {
+        this->unregistered = true;
+        return;
+    }
+    this->registered = false;
+    this->writeCall = this->world.takeCall();
+    this->world.emit(DeleteFleetObject{.call = this->writeCall,
+                                       .name = FleetView::memberName(this->world.options.instance),
+                                       .expectedRevision = this->ownRevision});
+}
+
+void LeadershipSystem::serversChanged()
+{
+    this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->refresh(id); });
+}
+
+void LeadershipSystem::refresh(ServiceId id)
+{
+    if (this->view.revision() == 0)
+        return;
+    ServiceRow &service = this->world.services.at(id);
+    const FleetView::Record *known = this->view.record(service.name);
+    if (known != nullptr)
+        this->adoptRecord(id, *known);
+    else
+        this->adoptClaim(id);
+
+    // The entry of the primary may have come or gone.
+    const auto found = this->world.serverById.find(service.primaryId);
+    service.primary = found == this->world.serverById.end() ? ServerId{} : found->second;
+    if (service.primary.isValid())
+        service.missingSince = TimePoint{0};
+    else if (service.missingSince.count() == 0)
+        service.missingSince = this->world.now;
+    if (!service.changing && this->evidenceAt > service.currentAt) {
+        service.currentAt = this->evidenceAt;
+        this->dispatch.reviewWithheld(id);
+    }
+    if (!service.queue.empty())
+        this->dispatch.drain(id);
+}
+
+void LeadershipSystem::adoptRecord(ServiceId id, const FleetView::Record &known)
+{
+    ServiceRow &service = this->world.services.at(id);
+    const LeadershipRecord &record = known.record;
+    if (record.changing) {
+        if (service.epoch >= record.epoch)
+            return;
+        service.epoch = record.epoch;
+        service.changing = true;
+        service.planned = record.planned;
+        service.changingSince = this->world.now;
+        if (service.primaryId.empty())
+            service.primaryId = record.primary;
+        this->world.log(LogLevel::Info, "replacement-seen", {{"service", service.name},
+                                                             {"primary", record.primary},
+                                                             {"epoch", std::to_string(record.epoch)},
+                                                             {"holder", record.holder},
+                                                             {"planned", record.planned ? "true" : "false"}});
+        this->releaseIfIdle(id);
+        return;
+    }
+    if (service.epoch > record.epoch || (service.epoch == record.epoch && !service.changing))
+        return;
+    this->setPrimary(id, record.primary, record.epoch);
+}
+
+void LeadershipSystem::adoptClaim(ServiceId id)
+{
+    // Without a record no primary was ever replaced, so what the servers say of themselves holds.
+    ServiceRow &service = this->world.services.at(id);
+    if (!service.primaryId.empty())
+        return;
+    for (const ServerId server : service.servers) {
+        const ServerEntry &entry = this->world.servers.at(server).entry;
+        if (entry.claimsPrimary) {
+            this->setPrimary(id, entry.id, 0);
+            return;
+        }
+    }
+}
+
+void LeadershipSystem::setPrimary(ServiceId id, const std::string &server, std::uint64_t epoch)
+{
+    ServiceRow &service = this->world.services.at(id);
+    this->world.log(LogLevel::Info, "primary-known", {{"service", service.name},
+                                                      {"primary", server},
+                                                      {"earlier", service.primaryId},
+                                                      {"epoch", std::to_string(epoch)}});
+    if (!service.released && !service.primaryId.empty())
+        this->release(id);
+    service.primaryId = server;
+    service.epoch = epoch;
+    service.leadership += 1;
+    service.changing = false;
+    service.released = false;
+    service.positions.clear();
+    service.currentAt = TimePoint{0};
+    this->suspicions.erase(service.name);
+    this->drainingSince.erase(service.name);
+    this->desired.views.erase(service.name);
+    this->desired.released.erase(service.name);
+}
+
+void LeadershipSystem::releaseIfIdle(ServiceId id)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    if (!service.changing || service.released)
+        return;
+    const ServerRow *primary = this->world.servers.find(service.primary);
+    const bool busy = primary != nullptr && primary->running > 0;
+    const bool patient = service.planned && this->world.now - service.changingSince < this->options.plannedPatience;
+    if (busy && patient)
+        return;
+    this->release(id);
+}
+
+void LeadershipSystem::release(ServiceId id)
+{
+    ServiceRow &service = this->world.services.at(id);
+    service.released = true;
+    this->desired.released[service.name] = service.epoch;
+    if (this->world.servers.contains(service.primary)) {
+        // What still runs there can no longer be believed.
+        const std::vector<LinkId> open = this->world.servers.at(service.primary).links;
+        for (const LinkId link : open) {
+            if (this->world.links.contains(link) && this->world.links.at(link).user.isValid())
+                this->dispatch.linkLost(link, LinkEnd::Closed);
+        }
+    }
+    this->dispatch.reviewWithheld(id);
+    this->world.log(LogLevel::Info, "primary-released",
+                    {{"service", service.name}, {"epoch", std::to_string(service.epoch)}});
+}
+
+void LeadershipSystem::check()
+{
+    this->world.timers.add(this->world.now + this->options.checkInterval, TimerKind::Leadership);
+    std::vector<ServiceId> all;
+    this->world.services.forEach([&](ServiceId id, ServiceRow &) { all.push_back(id); });
+    for (const ServiceId id : all) {
+        this->releaseIfIdle(id);
+        this->checkView(id);
+    }
+    this->publish();
+}
+
+bool LeadershipSystem::isUnreachable(const ServiceRow &service) const
+{
+    const ServerRow *primary = this->world.servers.find(service.primary);
+    const TimePoint now = this->world.now;
+    if (primary == nullptr)
+        return now - service.missingSince >= this->options.missingLimit;
+    if (primary->unreachableSince.count() != 0 && now - primary->unreachableSince >= this->options.refusedLimit)
+        return true;
+    const TimePoint silentSince = std::max(primary->askedSince, primary->lastAnswerAt);
+    return primary->askedSince.count() != 0 && now - silentSince >= this->options.silenceLimit;
+}
+
+void LeadershipSystem::checkView(ServiceId id)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    if (service.primaryId.empty() || service.changing) {
+        this->suspicions.erase(service.name);
+        this->desired.views.erase(service.name);
+        return;
+    }
+    const ServerRow *primary = this->world.servers.find(service.primary);
+    if (primary != nullptr && primary->entry.draining)
+        this->drainingSince.try_emplace(service.name, this->world.now);
+    else
+        this->drainingSince.erase(service.name);
+
+    // An own view is published if the primary seems unreachable to this instance, or to another one.
+    const bool own = this->isUnreachable(service);
+    bool others = false;
+    for (const auto &[instance, member] : this->view.members()) {
+        const auto seen = member.record.views.find(service.name);
+        others = others || (instance != this->world.options.instance && seen != member.record.views.end()
+                            && seen->second == PrimaryView::Unreachable);
+    }
+    if (!own && !others) {
+        this->suspicions.erase(service.name);
+        this->desired.views.erase(service.name);
+        return;
+    }
+    Suspicion &suspicion = this->suspicions.try_emplace(service.name, Suspicion{.since = this->world.now}).first->second;
+    if (own != suspicion.own)
+        this->world.log(LogLevel::Warning, own ? "primary-unreachable" : "primary-reachable",
+                        {{"service", service.name}, {"primary", service.primaryId}});
+    suspicion.own = own;
+    this->desired.views[service.name] = own ? PrimaryView::Unreachable : PrimaryView::Reachable;
+}
+
+std::uint32_t LeadershipSystem::rank(const std::string &service) const
+{
+    // The instance that replaced a primary last goes first, so that the duty rarely changes hands; then those that have
+    // just shown that they live; then the others by name.
+    const std::string holder = this->view.lastHolder();
+    const std::string &self = this->world.options.instance;
+    const auto order = [&](const std::string &instance, const FleetView::Member &member) {
+        if (instance == holder)
+            return 0;
+        return member.record.views.contains(service) ? 1 : 2;
+    };
+    const FleetView::Member *own = this->view.member(self);
+    if (own == nullptr)
+        return static_cast<std::uint32_t>(this->view.members().size());
+    const int ownOrder = order(self, *own);
+    std::uint32_t before = 0;
+    for (const auto &[instance, member] : this->view.members()) {
+        const int other = order(instance, member);
+        if (other < ownOrder || (other == ownOrder && instance < self))
+            before += 1;
+    }
+    return before;
+}
+
+Duration LeadershipSystem::dueAfter(const std::string &service) const
+{
+    return this->options.rankDelay * this->rank(service);
+}
+
+bool LeadershipSystem::shouldReplace(ServiceId id, bool &planned) const
+{
+    const ServiceRow &service = this->world.services.at(id);
+    planned = !this->isUnreachable(service);
+    if (!this->registered || this->world.stopping || service.primaryId.empty())
+        return false;
+    if (service.changing) {
+        const FleetView::Record *known = this->view.record(service.name);
+        return known != nullptr && known->record.changing
+               && this->world.now - known->seenAt >= this->options.takeOverAfter + this->dueAfter(service.name);
+    }
+    const auto leaves = this->drainingSince.find(service.name);
+    if (leaves != this->drainingSince.end() && this->world.now - leaves->second >= this->dueAfter(service.name))
+        return true;
+
+    // More instances miss the primary than reach it.
+    const auto suspicion = this->suspicions.find(service.name);
+    if (suspicion == this->suspicions.end())
+        return false;
+    int balance = suspicion->second.own ? 1 : -1;
+    for (const auto &[instance, member] : this->view.members()) {
+        const auto seen = member.record.views.find(service.name);
+        if (instance == this->world.options.instance || seen == member.record.views.end())
+            continue;
+        balance += seen->second == PrimaryView::Unreachable ? 1 : -1;
+    }
+    return balance > 0
+           && this->world.now - suspicion->second.since >= this->options.viewWait + this->dueAfter(service.name);
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/leadership/memberrecord.cpp
@@ -0,0 +1,35 @@
+#include "leadership/memberrecord.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Jujubekeel {
+
+std::string MemberRecord::toText() const
+{
+    auto seen = nlohmann::json::object();
+    for (const auto &[service, view] : this->views)
+        seen[service] = view == PrimaryView::Reachable;
+    return nlohmann::json{{"incarnation", this->incarnation},
+                          {"renewals", this->renewals},
+                          {"reachable", seen},
+                          {"released", this->released}}
+        .dump();
+}
+
+std::optional<MemberRecord> MemberRecord::fromText(std::string_view text)
+{
+    try {
+        const auto root = nlohmann::json::parse(text.begin(), text.end());
+        MemberRecord record{.incarnation = root.at("incarnation").get<std::uint64_t>(),
+                            .renewals = root.at("renewals").get<std::uint64_t>()};
+        for (const auto &[service, reachable] : root.at("reachable").items())
+            record.views[service] = reachable.get<bool>() ? PrimaryView::Reachable : PrimaryView::Unreachable;
+        for (const auto &[service, epoch] : root.at("released").items())
+            record.released[service] = epoch.get<std::uint64_t>();
+        return record;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/leadership/promotionsystem.cpp
@@ -0,0 +1,345 @@
+#include "leadership/promotionsystem.h"
+
+#include "leadership/leadershipsystem.h"
+#include "pool/linksystem.h"
+#include "pool/poolworld.h"
+
+#include <algorithm>
+#include <cassert>
+#include <vector>
+
+namespace Jujubekeel {
+
+namespace {
+
+/// Wait for an answer to a status question.
+constexpr Duration statusTimeout = std::chrono::milliseconds(400);
+
+} // namespace
+
+PromotionSystem::PromotionSystem(PoolWorld &poolWorld, LinkSystem &linkSystem, LeadershipSystem &leadershipSystem,
+                                 LeadershipOptions leadershipOptions)
+    : world(poolWorld), links(linkSystem), leadership(leadershipSystem), options(leadershipOptions)
+{
+}
+
+void PromotionSystem::check()
+{
+    std::vector<std::pair<ServiceId, bool>> due;
+    this->world.services.forEach([&](ServiceId id, ServiceRow &service) {
+        bool planned = false;
+        const bool hasCandidate = service.servers.size() > (service.primary.isValid() ? 1 : 0);
+        if (!this->replacements.contains(id) && hasCandidate && this->leadership.shouldReplace(id, planned))
+            due.emplace_back(id, planned);
+    });
+    for (const auto &[id, planned] : due)
+        this->begin(id, planned);
+}
+
+void PromotionSystem::begin(ServiceId id, bool planned)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    const FleetView::Record *known = this->leadership.fleet().record(service.name);
+    Replacement replacement{.startedAt = this->world.now, .stepAt = this->world.now};
+    replacement.expectedRevision = known == nullptr ? 0 : known->revision;
+    replacement.record = LeadershipRecord{.epoch = (known == nullptr ? 0 : known->record.epoch) + 1,
+                                          .primary = service.primaryId,
+                                          .changing = true,
+                                          .planned = planned,
+                                          .holder = this->world.options.instance};
+    this->world.log(LogLevel::Warning, "replacement-started",
+                    {{"service", service.name},
+                     {"primary", service.primaryId},
+                     {"planned", planned ? "true" : "false"},
+                     {"epoch", std::to_string(replacement.record.epoch)},
+                     {"knowledgeAgeMs",
+                      std::to_string((this->world.now - this->leadership.provedAt()).count() / 1000)}});
+    this->world.counters.add("jujubekeel_pool_replacements_total");
+    Replacement &row = this->replacements.emplace(id, std::move(replacement)).first->second;
+    this->announce(id, row);
+    this->world.timers.add(this->world.now + this->options.stepInterval, TimerKind::Replacement);
+}
+
+void PromotionSystem::announce(ServiceId id, Replacement &replacement)
+{
+    replacement.call = this->world.takeCall();
+    this->world.emit(WriteFleetObject{.call = replacement.call,
+                                      .name = FleetView::recordName(this->world.services.at(id).name),
+                                      .expectedRevision = replacement.expectedRevision,
+                                      .content = replacement.record.toText()});
+}
+
+void PromotionSystem::enter(Replacement &replacement, Step step)
+{
+    replacement.step = step;
+    replacement.stepAt = this->world.now;
+    replacement.retryAt = TimePoint{0};
+    replacement.statuses.clear();
+}
+
+bool PromotionSystem::writeFinished(const WriteOutcome &outcome)
+{
+    if (this->deletions.erase(outcome.call) > 0)
+        return true;
+    for (auto &[id, replacement] : this->replacements) {
+        if (replacement.call != outcome.call)
+            continue;
+        replacement.call = 0;
+        if (outcome.result == WriteResult::Ok && replacement.step == Step::Announce) {
+            replacement.token = outcome.revision;
+            replacement.expectedRevision = outcome.revision;
+            replacement.announcedAt = this->world.now;
+            this->enter(replacement, Step::Consent);
+        } else if (outcome.result == WriteResult::Ok) {
+            this->world.log(LogLevel::Info, "replacement-finished",
+                            {{"service", this->world.services.at(id).name},
+                             {"primary", replacement.candidate},
+                             {"tookMs", std::to_string((this->world.now - replacement.startedAt).count() / 1000)}});
+            this->replacements.erase(id);
+        } else if (replacement.step == Step::Announce) {
+            // Another instance was first, or the store is away: what the record says then decides.
+            this->replacements.erase(id);
+        } else if (outcome.result == WriteResult::Conflict) {
+            this->replacements.erase(id);
+        } else {
+            replacement.retryAt = this->world.now + this->options.callRetry;
+        }
+        return true;
+    }
+    return false;
+}
+
+bool PromotionSystem::promotionFinished(const PromotionOutcome &outcome)
+{
+    for (auto &[id, replacement] : this->replacements) {
+        if (replacement.call != outcome.call)
+            continue;
+        replacement.call = 0;
+        switch (outcome.result) {
+        case PromotionResult::Ok:
+            this->enter(replacement, Step::AwaitLead);
+            break;
+        case PromotionResult::NotRunning:
+            replacement.refused.insert(replacement.candidate);
+            this->enter(replacement, Step::Choose);
+            break;
+        case PromotionResult::Unavailable:
+            replacement.retryAt = this->world.now + this->options.callRetry;
+            break;
+        }
+        return true;
+    }
+    return false;
+}
+
+void PromotionSystem::advance()
+{
+    std::vector<ServiceId> ids;
+    for (const auto &[id, replacement] : this->replacements)
+        ids.push_back(id);
+    for (const ServiceId id : ids) {
+        if (!this->advanceOne(id, this->replacements.at(id)))
+            this->replacements.erase(id);
+    }
+    if (!this->replacements.empty())
+        this->world.timers.add(this->world.now + this->options.stepInterval, TimerKind::Replacement);
+}
+
+bool PromotionSystem::isSuperseded(const ServiceRow &service, const Replacement &replacement) const
+{
+    const FleetView::Record *known = this->leadership.fleet().record(service.name);
+    return known != nullptr && known->revision > replacement.expectedRevision;
+}
+
+bool PromotionSystem::advanceOne(ServiceId id, Replacement &replacement)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    if (replacement.step != Step::Announce && this->isSuperseded(service, replacement))
+        return replacement.step == Step::Record && replacement.call != 0;
+    if (replacement.call != 0 || this->world.now < replacement.retryAt)
+        return true;
+    switch (replacement.step) {
+    case Step::Announce:
+        return false;
+    case Step::Consent:
+        // The members must be known at least as of the announcement.
+        if (this->leadership.fleet().revision() < replacement.token || !this->allReleased(service, replacement))
+            return true;
+        this->forgetSilentMembers(service, replacement);
+        this->enter(replacement, Step::Choose);
+        return true;
+    case Step::Choose:
+        if (this->choose(id, replacement))
+            this->enter(replacement, Step::Name);
+        return true;
+    case Step::Name:
+        this->name(id, replacement);
+        return true;
+    case Step::AwaitLead: {
+        const auto known = replacement.statuses.find(replacement.candidate);
+        if (known != replacement.statuses.end() && known->second.isPrimary) {
+            this->enter(replacement, Step::Record);
+            this->writeResult(id, replacement);
+        } else if (this->world.now - replacement.stepAt > this->options.leadWait) {
+            replacement.refused.insert(replacement.candidate);
+            this->enter(replacement, Step::Choose);
+        } else {
+            this->askStatus(replacement, replacement.candidate);
+        }
+        return true;
+    }
+    case Step::Record:
+        this->writeResult(id, replacement);
+        return true;
+    }
+    return true;
+}
+
+bool PromotionSystem::allReleased(const ServiceRow &service, const Replacement &replacement) const
+{
+    // An instance whose knowledge has lapsed accepts nothing of the old primary any more.
+    const Duration lapse = this->world.options.authorityLease + this->options.leaseMargin;
+    if (this->world.now - replacement.announcedAt >= lapse)
+        return true;
+    const auto &members = this->leadership.fleet().members();
+    return std::all_of(members.begin(), members.end(), [&](const auto &entry) {
+        if (entry.first == this->world.options.instance)
+            return service.released;
+        const auto released = entry.second.record.released.find(service.name);
+        return released != entry.second.record.released.end() && released->second >= replacement.record.epoch;
+    });
+}
+
+void PromotionSystem::forgetSilentMembers(const ServiceRow &service, const Replacement &replacement)
+{
+    for (const auto &[instance, member] : this->leadership.fleet().members()) {
+        const auto released = member.record.released.find(service.name);
+        const bool answered = released != member.record.released.end()
+                              && released->second >= replacement.record.epoch;
+        if (answered || instance == this->world.options.instance)
+            continue;
+        // An instance that lives registers anew; the revision keeps it if it has just done so.
+        const std::uint64_t call = this->world.takeCall();
+        this->deletions.insert(call);
+        this->world.emit(DeleteFleetObject{.call = call,
+                                           .name = FleetView::memberName(instance),
+                                           .expectedRevision = member.revision});
+        this->world.log(LogLevel::Warning, "member-forgotten", {{"member", instance}, {"service", service.name}});
+    }
+}
+
+void PromotionSystem::askStatus(Replacement &replacement, const std::string &server)
+{
+    const auto found = this->world.serverById.find(server);
+    if (found == this->world.serverById.end())
+        return;
+    const auto asked = replacement.askedAt.find(server);
+    if (asked != replacement.askedAt.end() && this->world.now - asked->second < statusTimeout)
+        return;
+    const LinkId link = this->links.findFree(found->second, SessionId{});
+    if (!link.isValid()) {
+        this->links.ensureOpening(found->second, LinkPurpose::Order);
+        return;
+    }
+    replacement.askedAt[server] = this->world.now;
+    this->links.send(link, ExchangeKind::Status, ServerCommand{.kind = CommandKind::Status});
+    this->links.setDeadline(link, this->world.now + statusTimeout);
+}
+
+void PromotionSystem::statusReceived(ServerId server, const std::optional<ReplicationStatus> &status)
+{
+    const ServerRow &row = this->world.servers.at(server);
+    const auto found = this->replacements.find(row.service);
+    if (found == this->replacements.end())
+        return;
+    found->second.askedAt.erase(row.entry.id);
+    if (status)
+        found->second.statuses[row.entry.id] = *status;
+}
+
+bool PromotionSystem::choose(ServiceId id, Replacement &replacement)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    const Duration waited = this->world.now - replacement.stepAt;
+    const std::string &old = replacement.record.primary;
+    const ServerRow *oldRow = this->world.servers.find(service.primary);
+    const bool oldAnswers = replacement.record.planned && oldRow != nullptr && oldRow->unreachableSince.count() == 0;
+
+    // Ask the old primary for what a candidate has to have, and all candidates for what they have received.
+    if (oldAnswers && !replacement.statuses.contains(old))
+        this->askStatus(replacement, old);
+    std::vector<std::string> candidates;
+    for (const ServerId server : service.servers) {
+        const ServerEntry &entry = this->world.servers.at(server).entry;
+        if (entry.id == old || replacement.refused.contains(entry.id))
+            continue;
+        if (!entry.draining)
+            candidates.push_back(entry.id);
+    }
+    if (candidates.empty()) {
+        replacement.refused.clear();
+        return false;
+    }
+    std::string best;
+    std::size_t answered = 0;
+    for (const std::string &candidate : candidates) {
+        const auto known = replacement.statuses.find(candidate);
+        if (known == replacement.statuses.end()) {
+            this->askStatus(replacement, candidate);
+            continue;
+        }
+        answered += 1;
+        if (best.empty() || replacement.statuses.at(best).received < known->second.received)
+            best = candidate;
+    }
+    if (best.empty() || (answered < candidates.size() && waited < this->options.statusWait))
+        return false;
+
+    // Nothing that a living primary has acknowledged may be missing.
+    const auto source = replacement.statuses.find(old);
+    if (oldAnswers && waited < this->options.catchUpWait) {
+        if (source == replacement.statuses.end())
+            return false;
+        if (replacement.statuses.at(best).received < source->second.received) {
+            std::erase_if(replacement.statuses, [&](const auto &entry) { return entry.first != old; });
+            return false;
+        }
+    }
+    replacement.candidate = best;
+    this->world.log(LogLevel::Info, "candidate-chosen",
+                    {{"service", service.name},
+                     {"candidate", best},
+                     {"received", std::to_string(replacement.statuses.at(best).received.position)},
+                     {"answered", std::to_string(answered)},
+                     {"of", std::to_string(candidates.size())},
+                     {"token", std::to_string(replacement.token)}});
+    return true;
+}
+
+void PromotionSystem::name(ServiceId id, Replacement &replacement)
+{
+    // An instance that was suspended may have been replaced as the holder meanwhile.
+    if (this->world.now - this->leadership.provedAt() > this->options.knowledgeLimit)
+        return;
+    replacement.call = this->world.takeCall();
+    this->world.emit(NamePrimary{.call = replacement.call,
+                                 .service = this->world.services.at(id).name,
+                                 .server = replacement.candidate,
+                                 .holder = this->world.options.instance,
+                                 .fencingToken = replacement.token});
+}
+
+void PromotionSystem::writeResult(ServiceId id, Replacement &replacement)
+{
+    LeadershipRecord record = replacement.record;
+    record.primary = replacement.candidate;
+    record.changing = false;
+    record.planned = false;
+    replacement.call = this->world.takeCall();
+    this->world.emit(WriteFleetObject{.call = replacement.call,
+                                      .name = FleetView::recordName(this->world.services.at(id).name),
+                                      .expectedRevision = replacement.expectedRevision,
+                                      .content = record.toText()});
+}
+
+} // namespace Jujubekeel
--- a/src/pool/linkrow.h
+++ b/src/pool/linkrow.h
@@ -33,6 +33,7 @@
     std::vector<std::string> rows;
     std::size_t bytes = 0;
     std::string digest;
+    std::optional<ReplicationStatus> status; ///< Status and Order
     bool done = false;
     std::optional<OutcomeError> error;
 };
--- a/src/pool/linksystem.cpp
+++ b/src/pool/linksystem.cpp
@@ -51,14 +51,16 @@
     return best;
 }
 
-bool LinkSystem::ensureOpening(ServerId server)
+bool LinkSystem::ensureOpening(ServerId server, LinkPurpose purpose)
 {
     ServerRow &row = this->world.servers.at(server);
     if (row.opening > 0)
         return true;
     if (!row.listed || this->world.now < row.retryAt)
         return false;
-    if (row.links.size() >= this->linkLimit(row.entry.service))
+    // Orders may use one of the connections that work leaves free.
+    const std::uint32_t extra = purpose == LinkPurpose::Order ? 1 : 0;
+    if (row.links.size() >= this->linkLimit(row.entry.service) + extra)
         return false;
 
     const LinkId link = this->world.links.insert(LinkRow{.server = server});
@@ -103,7 +105,10 @@
     case ServerMessageKind::Row:
         exchange.bytes += message.text.size();
         broken = exchange.bytes > this->world.options.resultLimit;
-        exchange.rows.push_back(std::move(message.text));
+        if (exchange.kind == ExchangeKind::Status || exchange.kind == ExchangeKind::Order)
+            exchange.status = message.status;
+        else
+            exchange.rows.push_back(std::move(message.text));
         return std::nullopt;
     case ServerMessageKind::Done:
         exchange.digest = std::move(message.text);
--- a/src/pool/linksystem.h
+++ b/src/pool/linksystem.h
@@ -19,6 +19,8 @@
     Closed,  ///< by this instance
 };
 
+enum class LinkPurpose : std::uint8_t { Work, Order };
+
 /// An exchange whose answer is complete.
 struct CompletedExchange
 {
@@ -40,7 +42,7 @@
     [[nodiscard]] LinkId findFree(ServerId server, SessionId session) const;
     /// Opens a link unless the limit is reached, one is being opened, or a failure was too recent. Returns true if one
     /// is being opened now.
-    bool ensureOpening(ServerId server);
+    bool ensureOpening(ServerId server, LinkPurpose purpose = LinkPurpose::Work);
 
     /// Sends a command; the answer is matched in order.
     void send(LinkId link, ExchangeKind kind, ServerCommand command);
--- a/src/pool/poolactions.h
+++ b/src/pool/poolactions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/action.h"
+#include "leadership/fleetmessages.h"
 #include "pool/poolids.h"
 #include "pool/poolmessages.h"
 
@@ -54,7 +55,7 @@
 };
 
 using PoolAction = std::variant<ReplyToCaller, RefuseCaller, GreetCaller, CloseCaller, OpenLink, SendCommand, CloseLink,
-                                WriteLog>;
+                                WriteFleetObject, DeleteFleetObject, NamePrimary, WriteLog>;
 using PoolActions = std::vector<PoolAction>;
 
 } // namespace Jujubekeel
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -4,15 +4,30 @@
 
 namespace Jujubekeel {
 
-PoolCore::PoolCore(PoolOptions options)
+namespace {
+
+/// Between two looks at the sessions during a planned stop.
+constexpr Duration stopInterval = std::chrono::milliseconds(50);
+
+} // namespace
+
+PoolCore::PoolCore(PoolOptions options, LeadershipOptions leadershipOptions)
     : links(this->world),
       dispatch(this->world, this->links,
                [this](SessionId session, CallerReply reply) { this->sessions.finished(session, std::move(reply)); }),
-      sessions(this->world, this->dispatch), directory(this->world, this->links, this->dispatch)
+      sessions(this->world, this->dispatch), directory(this->world, this->links, this->dispatch),
+      leadership(this->world, this->dispatch, leadershipOptions),
+      promotion(this->world, this->links, this->leadership, leadershipOptions)
 {
     this->world.options = std::move(options);
 }
 
+void PoolCore::start(TimePoint now, std::uint64_t incarnation)
+{
+    this->world.now = now;
+    this->leadership.start(incarnation);
+}
+
 SessionId PoolCore::callerConnected(TimePoint now)
 {
     this->world.now = now;
@@ -53,6 +68,8 @@
     }
     if (!completed)
         return;
+    if (completed->exchange.kind == ExchangeKind::Status)
+        this->promotion.statusReceived(this->world.links.at(link).server, completed->exchange.status);
     if (completed->exchange.kind != ExchangeKind::Open) {
         this->dispatch.exchangeCompleted(link, std::move(*completed));
         return;
@@ -90,36 +107,41 @@
 {
     this->world.now = now;
     this->directory.entryChanged(entry);
-    this->adoptClaimedPrimary(entry);
+    this->leadership.serversChanged();
 }
 
 void PoolCore::entryRemoved(TimePoint now, std::string_view id)
 {
     this->world.now = now;
     this->directory.entryRemoved(id);
+    this->leadership.serversChanged();
 }
 
 void PoolCore::entriesListed(TimePoint now, const std::vector<ServerEntry> &entries)
 {
     this->world.now = now;
     this->directory.entriesListed(entries);
-    for (const ServerEntry &entry : entries)
-        this->adoptClaimedPrimary(entry);
+    this->leadership.serversChanged();
 }
 
-void PoolCore::adoptClaimedPrimary(const ServerEntry &entry)
+void PoolCore::fleetNews(TimePoint now, const FleetNews &news)
 {
-    if (!entry.claimsPrimary)
-        return;
-    const ServerId id = this->world.serverById.at(entry.id);
-    ServiceRow &service = this->world.services.at(this->world.servers.at(id).service);
-    if (service.primary == id)
-        return;
-    service.primary = id;
-    service.leadership += 1;
-    service.positions.clear();
-    service.currentAt = this->world.now + std::chrono::hours(24);
-    this->dispatch.drain(this->world.servers.at(id).service);
+    this->world.now = now;
+    this->leadership.newsReceived(news);
+    this->promotion.advance();
+}
+
+void PoolCore::writeFinished(TimePoint now, const WriteOutcome &outcome)
+{
+    this->world.now = now;
+    if (!this->leadership.writeFinished(outcome))
+        this->promotion.writeFinished(outcome);
+}
+
+void PoolCore::promotionFinished(TimePoint now, const PromotionOutcome &outcome)
+{
+    this->world.now = now;
+    this->promotion.promotionFinished(outcome);
 }
 
 void PoolCore::tick(TimePoint now)
@@ -156,17 +178,31 @@
     }
     case TimerKind::ServerMissing:
         this->directory.checkMissing(ServerId::fromPacked(entry.subject));
+        this->leadership.serversChanged();
+        return;
+    case TimerKind::Leadership:
+        this->leadership.check();
+        this->promotion.check();
+        return;
+    case TimerKind::Replacement:
+        this->promotion.advance();
         return;
     case TimerKind::ServiceCheck:
         this->dispatch.drain(ServiceId::fromPacked(entry.subject));
         return;
-    case TimerKind::Stop: {
-        const Duration stopping = this->world.now - this->world.stopRequestedAt;
-        this->sessions.closeIdle(stopping >= this->world.options.stopTransactions);
-        this->world.timers.add(this->world.now + std::chrono::milliseconds(50), TimerKind::Stop);
+    case TimerKind::Stop:
+        this->handleStop();
         return;
     }
-    }
+}
+
+void PoolCore::handleStop()
+{
+    const Duration stopping = this->world.now - this->world.stopRequestedAt;
+    this->sessions.closeIdle(stopping >= this->world.options.stopTransactions);
+    if (this->world.sessions.size() == 0)
+        this->leadership.unregister();
+    this->world.timers.add(this->world.now + stopInterval, TimerKind::Stop);
 }
 
 void PoolCore::requestStop(TimePoint now)
@@ -186,7 +222,8 @@
         return false;
     const Duration stopping = this->world.now - this->world.stopRequestedAt;
     return stopping >= this->world.options.stopLimit
-           || (stopping >= this->world.options.stopDrainDelay && this->world.sessions.size() == 0);
+           || (stopping >= this->world.options.stopDrainDelay && this->world.sessions.size() == 0
+               && this->leadership.isUnregistered());
 }
 
 bool PoolCore::isReady() const
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -1,11 +1,15 @@
 #pragma once
 
+#include "leadership/leadershipoptions.h"
+#include "leadership/leadershipsystem.h"
+#include "leadership/promotionsystem.h"
 #include "pool/directorysystem.h"
 #include "pool/dispatchsystem.h"
 #include "pool/linksystem.h"
 #include "pool/poolworld.h"
 #include "pool/sessionsystem.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,10 +24,13 @@
 class PoolCore final
 {
 public:
-    explicit PoolCore(PoolOptions options);
+    explicit PoolCore(PoolOptions options, LeadershipOptions leadershipOptions = {});
     PoolCore(const PoolCore &) = delete;
     PoolCore &operator=(const PoolCore &) = delete;
 
+    /// \a incarnation tells this process from earlier ones of the same name.
+    void start(TimePoint now, std::uint64_t incarnation);
+
     /// A caller's connection was accepted; it has not yet named its database.
     [[nodiscard]] SessionId callerConnected(TimePoint now);
     void callerOpens(TimePoint now, SessionId session, const std::string &database);
@@ -40,6 +47,10 @@
     void entryRemoved(TimePoint now, std::string_view id);
     void entriesListed(TimePoint now, const std::vector<ServerEntry> &entries);
 
+    void fleetNews(TimePoint now, const FleetNews &news);
+    void writeFinished(TimePoint now, const WriteOutcome &outcome);
+    void promotionFinished(TimePoint now, const PromotionOutcome &outcome);
+
     /// Runs what is due.
     void tick(TimePoint now);
     [[nodiscard]] std::optional<TimePoint> nextDue() const { return this->world.timers.next(); }
@@ -57,13 +68,15 @@
 
 private:
     void handleTimer(const TimerQueue::Entry &entry);
-    void adoptClaimedPrimary(const ServerEntry &entry);
+    void handleStop();
 
     PoolWorld world;
     LinkSystem links;
     DispatchSystem dispatch;
     SessionSystem sessions;
     DirectorySystem directory;
+    LeadershipSystem leadership;
+    PromotionSystem promotion;
 };
 
 } // namespace Jujubekeel
--- a/src/pool/poolmessages.h
+++ b/src/pool/poolmessages.h
@@ -18,6 +18,15 @@
     Failed, ///< the transaction can only be ended, which rolls it back
 };
 
+/// What a backend server says of its part in replication.
+struct ReplicationStatus
+{
+    bool isPrimary = false;
+    std::uint64_t term = 0;
+    LogPosition received;       ///< may be ahead of the applied position
+    std::uint64_t heldTerm = 0; ///< term of a PauseReplication in force; 0: none
+};
+
 enum class ServerMessageKind : std::uint8_t { Row, Done, Error, Ready };
 
 /// One message of a backend server.
@@ -25,6 +34,7 @@
 {
     ServerMessageKind kind = ServerMessageKind::Row;
     std::string text; ///< Row: its content; Done: the digest
+    std::optional<ReplicationStatus> status; ///< Row: set if it can be read as one
     OutcomeError error;
     SessionState state = SessionState::Idle;
     std::optional<LogPosition> position; ///< Ready: applied position of the server's log
@@ -59,15 +69,6 @@
     std::uint64_t term = 0;
 };
 
-/// What a backend server says of its part in replication.
-struct ReplicationStatus
-{
-    bool isPrimary = false;
-    std::uint64_t term = 0;
-    LogPosition received;       ///< may be ahead of the applied position
-    std::uint64_t heldTerm = 0; ///< term of a PauseReplication in force; 0: none
-};
-
 /// Complete answer to one statement of a caller.
 struct CallerReply
 {
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -32,7 +32,7 @@
     Duration drainWork = std::chrono::seconds(4); ///< a draining primary without successor gets new work this long
     Duration crossDomainCost = std::chrono::milliseconds(3);  ///< added to the expected wait when choosing a server
     Duration crossRegionCost = std::chrono::milliseconds(20);
-    Duration authorityLease = std::chrono::milliseconds(2000); ///< age up to which the authority record is acted on
+    Duration authorityLease = std::chrono::milliseconds(5000); ///< age up to which the authority record is acted on
 
     Duration stopDrainDelay = std::chrono::milliseconds(2200);   ///< idle sessions stay until traffic has moved away
     Duration stopTransactions = std::chrono::milliseconds(3600); ///< after this open transactions are rolled back
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -36,9 +36,11 @@
     bool stopping = false;
     TimePoint stopRequestedAt{0};
     TimerQueue timers;
+    std::uint64_t nextCall = 1; ///< numbers calls to the store and the promotion service
     Counters counters;
     PoolActions actions; ///< of the present input
 
+    [[nodiscard]] std::uint64_t takeCall() { return this->nextCall++; }
     template <typename Action>
     void emit(Action action)
     {
--- a/src/pool/timerqueue.h
+++ b/src/pool/timerqueue.h
@@ -18,6 +18,8 @@
     ServerMissing,   ///< subject: server
     ServiceCheck,    ///< subject: service
     Stop,
+    Leadership,  ///< all primaries
+    Replacement, ///< replacements under way
 };
 
 /// Points in time at which a row wants to be looked at. Entries are never removed: a handler checks its row and does
