--- a/src/leadership/leadershipoptions.h
+++ b/src/leadership/leadershipoptions.h
@@ -8,14 +8,14 @@
 struct LeadershipOptions
 {
     Duration checkInterval = std::chrono::milliseconds(100); ///< between two looks at the primaries
-    Duration refusedLimit = std::chrono::milliseconds(200);  ///< connects fail for this long: unreachable
+    Duration refusedLimit = std::chrono::milliseconds(200);  ///< no connection can be opened for this long: unreachable
     Duration silenceLimit = std::chrono::milliseconds(700);  ///< no answer to anything for this long: unreachable
     Duration missingLimit = std::chrono::milliseconds(700);  ///< without an entry and without a connection
     Duration viewWait = std::chrono::milliseconds(120);      ///< for the views of the other instances
     Duration rankDelay = std::chrono::milliseconds(300);     ///< the next instance acts this much later
     Duration writeRetry = std::chrono::milliseconds(150);    ///< pause after a failed write of the own member object
     Duration plannedPatience = std::chrono::milliseconds(1000); ///< work under way at a primary that leaves may end
-    Duration takeOverAfter = std::chrono::milliseconds(3500);   ///< a replacement without an end is taken over
+    Duration takeOverAfter = std::chrono::milliseconds(7500);   ///< a replacement without an end is taken over; above the lease
     Duration leaseMargin = std::chrono::milliseconds(100);      ///< added when a lapse is waited for
     Duration statusWait = std::chrono::milliseconds(350);       ///< for the positions of the candidates
     Duration catchUpWait = std::chrono::milliseconds(1500);     ///< a candidate receives what a living primary has
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -154,6 +154,7 @@
             return;
         service.epoch = record.epoch;
         service.changing = true;
+        service.released = false;
         service.planned = record.planned;
         service.changingSince = this->world.now;
         if (service.primaryId.empty())
--- a/src/leadership/promotionsystem.cpp
+++ b/src/leadership/promotionsystem.cpp
@@ -26,16 +26,42 @@
 void PromotionSystem::check()
 {
     std::vector<std::pair<ServiceId, bool>> due;
+    std::vector<ServiceId> unfinished;
     this->world.services.forEach([&](ServiceId id, ServiceRow &service) {
+        if (this->replacements.contains(id))
+            return;
+        const FleetView::Record *known = this->leadership.fleet().record(service.name);
+        const bool own = known != nullptr && known->record.holder == this->world.options.instance;
         bool planned = false;
         const bool hasCandidate = service.servers.size() > (service.primary.isValid() ? 1 : 0);
-        if (!this->replacements.contains(id) && hasCandidate && this->leadership.shouldReplace(id, planned))
+        if (own && known->record.changing)
+            unfinished.push_back(id);
+        else if (hasCandidate && this->leadership.shouldReplace(id, planned))
             due.emplace_back(id, planned);
     });
+    for (const ServiceId id : unfinished)
+        this->resume(id);
     for (const auto &[id, planned] : due)
         this->begin(id, planned);
 }
 
+void PromotionSystem::resume(ServiceId id)
+{
+    // Announced by this instance, by a write without an answer or before a restart.
+    const FleetView::Record &known = *this->leadership.fleet().record(this->world.services.at(id).name);
+    Replacement replacement{.step = Step::Consent,
+                            .record = known.record,
+                            .expectedRevision = known.revision,
+                            .token = known.revision,
+                            .startedAt = this->world.now,
+                            .announcedAt = this->world.now,
+                            .stepAt = this->world.now};
+    this->world.log(LogLevel::Warning, "replacement-resumed",
+                    {{"service", this->world.services.at(id).name}, {"epoch", std::to_string(known.record.epoch)}});
+    this->replacements.emplace(id, std::move(replacement));
+    this->world.timers.add(this->world.now + this->options.stepInterval, TimerKind::Replacement);
+}
+
 void PromotionSystem::begin(ServiceId id, bool planned)
 {
     const ServiceRow &service = this->world.services.at(id);
@@ -97,7 +123,8 @@
                              {"tookMs", std::to_string((this->world.now - replacement.startedAt).count() / 1000)}});
             this->replacements.erase(id);
         } else if (replacement.step == Step::Announce) {
-            // Another instance was first, or the store is away: what the record says then decides.
+            // Another instance was first, or the store is away. If the write has taken effect all the same, the record
+            // will show it and the replacement is resumed.
             this->replacements.erase(id);
         } else if (outcome.result == WriteResult::Conflict) {
             this->replacements.erase(id);
--- a/src/leadership/promotionsystem.h
+++ b/src/leadership/promotionsystem.h
@@ -64,6 +64,7 @@
     };
 
     void begin(ServiceId service, bool planned);
+    void resume(ServiceId service);
     void enter(Replacement &replacement, Step step);
     /// Returns false if the replacement is over.
     bool advanceOne(ServiceId service, Replacement &replacement);
--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -645,6 +645,33 @@
     this->finishWithError(id, OutcomeCode::Busy, error.text, SessionState::Failed);
 }
 
+void DispatchSystem::refuseQueued()
+{
+    std::vector<SessionId> waiting;
+    this->world.services.forEach([&](ServiceId, ServiceRow &service) {
+        waiting.insert(waiting.end(), service.queue.begin(), service.queue.end());
+        service.queue.clear();
+    });
+    for (const SessionId id : waiting) {
+        this->world.sessions.at(id).work->queued = false;
+        this->finishWithError(id, OutcomeCode::Busy, "the instance is stopping", SessionState::Failed);
+    }
+}
+
+void DispatchSystem::settleAll()
+{
+    std::vector<LinkId> busy;
+    this->world.links.forEach([&](LinkId id, LinkRow &link) {
+        if (link.user.isValid())
+            busy.push_back(id);
+    });
+    for (const LinkId id : busy) {
+        if (this->world.links.contains(id))
+            this->linkLost(id, LinkEnd::Closed);
+    }
+    this->refuseQueued();
+}
+
 void DispatchSystem::rollBack(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
--- a/src/pool/dispatchsystem.h
+++ b/src/pool/dispatchsystem.h
@@ -39,6 +39,10 @@
     void checkWork(SessionId session);
     /// Sends queued work of a service as far as links are free.
     void drain(ServiceId service);
+    /// Planned stop: refuses all work that waits.
+    void refuseQueued();
+    /// End of a planned stop: gives every statement under way its final answer.
+    void settleAll();
     /// Delivers or gives up results that wait for a proof of leadership.
     void reviewWithheld(ServiceId service);
     /// Asks an idle primary for its position, so that reads can go to replicas. Returns true if a question is under way.
--- a/src/pool/linksystem.cpp
+++ b/src/pool/linksystem.cpp
@@ -181,11 +181,16 @@
 {
     ServerRow &row = this->world.servers.at(server);
     const PoolOptions &options = this->world.options;
-    if (row.unreachableSince.count() == 0 && end != LinkEnd::Silent)
-        row.unreachableSince = this->world.now;
-    row.retryPause = std::clamp(row.retryPause * 2, options.retryFirst, options.retryLast);
-    // A link that broke while others may still work is opened again at once; a refused one later.
-    row.retryAt = this->world.now + (wasGreeted && end == LinkEnd::Broken ? Duration{0} : row.retryPause);
+    if (wasGreeted && end == LinkEnd::Broken) {
+        // The server may have dropped just this connection; a new one shows whether it is still there.
+        row.retryAt = this->world.now + options.reopenPause;
+    } else {
+        if (row.unreachableSince.count() == 0 && !wasGreeted)
+            row.unreachableSince = this->world.now;
+        row.retryPause = std::clamp(row.retryPause * 2, options.retryFirst, options.retryLast);
+        row.retryAt = this->world.now + row.retryPause;
+    }
+    row.brokenAt = this->world.now;
     this->world.timers.add(row.retryAt, TimerKind::ServerRetry, server.packed());
 }
 
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -171,7 +171,8 @@
         const ServerId server = ServerId::fromPacked(entry.subject);
         if (!this->world.servers.contains(server))
             return;
-        if (this->world.servers.at(server).links.empty())
+        const ServerRow &row = this->world.servers.at(server);
+        if (row.links.empty() || row.lastAnswerAt < row.brokenAt)
             this->links.ensureOpening(server);
         this->dispatch.drain(this->world.servers.at(server).service);
         return;
@@ -200,6 +201,10 @@
 {
     const Duration stopping = this->world.now - this->world.stopRequestedAt;
     this->sessions.closeIdle(stopping >= this->world.options.stopTransactions);
+    if (stopping >= this->world.options.stopNewWork)
+        this->dispatch.refuseQueued();
+    if (stopping >= this->world.options.stopLimit - stopInterval)
+        this->dispatch.settleAll();
     if (this->world.sessions.size() == 0)
         this->leadership.unregister();
     this->world.timers.add(this->world.now + stopInterval, TimerKind::Stop);
@@ -226,6 +231,11 @@
                && this->leadership.isUnregistered());
 }
 
+bool PoolCore::acceptsCallers() const
+{
+    return !this->world.stopping || this->world.now - this->world.stopRequestedAt < this->world.options.stopNewWork;
+}
+
 bool PoolCore::isReady() const
 {
     return !this->world.stopping && this->world.routes != nullptr && this->world.servers.size() > 0;
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -59,6 +59,8 @@
     void requestStop(TimePoint now);
     /// The planned stop is complete.
     [[nodiscard]] bool isStopped() const;
+    /// Connections of callers are still accepted; during a planned stop they are until traffic must have moved away.
+    [[nodiscard]] bool acceptsCallers() const;
     /// New callers may be sent here.
     [[nodiscard]] bool isReady() const;
 
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -25,6 +25,7 @@
     Duration openTimeout = std::chrono::milliseconds(1000);  ///< connect and greeting
     Duration retryFirst = std::chrono::milliseconds(100);    ///< pause after a failed connect; doubles
     Duration retryLast = std::chrono::milliseconds(800);
+    Duration reopenPause = std::chrono::milliseconds(20); ///< before a broken connection is replaced
     Duration laggingPause = std::chrono::milliseconds(100);  ///< a replica that lacked a position is passed over
     Duration laggingPauseLast = std::chrono::milliseconds(800);
     Duration sampleInterval = std::chrono::milliseconds(20); ///< between two kept positions of a primary
@@ -32,11 +33,13 @@
     Duration drainWork = std::chrono::seconds(4); ///< a draining primary without successor gets new work this long
     Duration crossDomainCost = std::chrono::milliseconds(3);  ///< added to the expected wait when choosing a server
     Duration crossRegionCost = std::chrono::milliseconds(20);
-    Duration authorityLease = std::chrono::milliseconds(5000); ///< age up to which the authority record is acted on
+    Duration authorityLease = std::chrono::milliseconds(6000); ///< age up to which the authority record is acted on
 
+    // Planned stop, counted from its request.
     Duration stopDrainDelay = std::chrono::milliseconds(2200);   ///< idle sessions stay until traffic has moved away
-    Duration stopTransactions = std::chrono::milliseconds(3600); ///< after this open transactions are rolled back
-    Duration stopLimit = std::chrono::milliseconds(5200);        ///< after this the process ends in any case
+    Duration stopTransactions = std::chrono::milliseconds(3400); ///< open transactions are rolled back
+    Duration stopNewWork = std::chrono::milliseconds(4300);      ///< new statements are refused
+    Duration stopLimit = std::chrono::milliseconds(5300);        ///< the process ends in any case
 
     std::size_t resultLimit = std::size_t{4} * 1024 * 1024; ///< bytes of one result
     std::size_t backlogLimit = 64;                          ///< statements that a caller may send ahead
--- a/src/pool/serverrow.h
+++ b/src/pool/serverrow.h
@@ -29,6 +29,7 @@
     TimePoint lastAnswerAt{0};  ///< of anything, greetings included
     TimePoint askedSince{0};    ///< start of the oldest time without an answer while work was outstanding; 0: none
     TimePoint unreachableSince{0}; ///< first failed connect since the last answer; 0: none
+    TimePoint brokenAt{0};      ///< a connection was lost last
     TimePoint retryAt{0};       ///< no new connection before
     Duration retryPause{0};
     TimePoint behindUntil{0};   ///< passed over for positions that it is not known to hold
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -217,6 +217,12 @@
         return;
     }
 
+    const Duration stopping = this->world.now - this->world.stopRequestedAt;
+    if (this->world.stopping && !session.transaction && stopping >= this->world.options.stopNewWork) {
+        this->refuse(id, OutcomeCode::Busy, "the instance is stopping", SessionState::Idle);
+        return;
+    }
+
     const Route &route = *session.route;
     bool writes = statement.kind == StatementKind::Write;
     if (statement.kind == StatementKind::Execute)
