--- /dev/null
+++ b/src/virtualpool/fleetstore.cpp
@@ -0,0 +1,89 @@
+#include "virtualpool/fleetstore.h"
+
+#include <utility>
+
+namespace Jujubekeel {
+
+FleetStore::Answer FleetStore::list() const
+{
+    Answer answer{.revision = this->revision};
+    for (const auto &[name, object] : this->objects)
+        answer.objects.push_back(object);
+    return answer;
+}
+
+FleetStore::Answer FleetStore::since(std::uint64_t from) const
+{
+    Answer answer{.revision = this->revision, .historyGone = from < this->oldestKnown};
+    for (const FleetObject &object : this->history) {
+        if (object.revision > from)
+            answer.objects.push_back(object);
+    }
+    return answer;
+}
+
+void FleetStore::watch(std::uint64_t from, Duration wait, std::function<void(Answer answer)> done)
+{
+    this->calls += 1;
+    Answer answer = this->since(from);
+    if (answer.historyGone || !answer.objects.empty()) {
+        done(std::move(answer));
+        return;
+    }
+    const std::uint64_t id = this->nextWatch++;
+    this->watches.emplace(id, Watch{.revision = from, .done = std::move(done)});
+    this->events.add(this->events.now() + wait, [this, id] {
+        const auto found = this->watches.find(id);
+        if (found == this->watches.end())
+            return;
+        const Watch watch = std::move(found->second);
+        this->watches.erase(found);
+        watch.done(this->since(watch.revision));
+    });
+}
+
+void FleetStore::changed(FleetObject object)
+{
+    this->history.push_back(std::move(object));
+    std::map<std::uint64_t, Watch> waiting;
+    waiting.swap(this->watches);
+    for (auto &[id, watch] : waiting)
+        watch.done(this->since(watch.revision));
+}
+
+WriteOutcome FleetStore::write(const WriteFleetObject &write)
+{
+    this->calls += 1;
+    const auto found = this->objects.find(write.name);
+    const std::uint64_t present = found == this->objects.end() ? 0 : found->second.revision;
+    if (present != write.expectedRevision)
+        return WriteOutcome{.call = write.call, .result = WriteResult::Conflict};
+    this->revision += 1;
+    const FleetObject object{.name = write.name, .revision = this->revision, .content = write.content};
+    this->objects[write.name] = object;
+    this->changed(object);
+    return WriteOutcome{.call = write.call, .result = WriteResult::Ok, .revision = object.revision};
+}
+
+WriteOutcome FleetStore::remove(const DeleteFleetObject &removal)
+{
+    this->calls += 1;
+    const auto found = this->objects.find(removal.name);
+    if (found == this->objects.end() || found->second.revision != removal.expectedRevision)
+        return WriteOutcome{.call = removal.call, .result = WriteResult::Conflict};
+    this->revision += 1;
+    FleetObject object = found->second;
+    object.revision = this->revision;
+    object.deleted = true;
+    this->objects.erase(found);
+    this->changed(object);
+    return WriteOutcome{.call = removal.call, .result = WriteResult::Ok, .revision = this->revision};
+}
+
+void FleetStore::compact()
+{
+    this->history.clear();
+    this->oldestKnown = this->revision;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/virtualpool/statementgroup.cpp
@@ -0,0 +1,469 @@
+#include "virtualpool/statementgroup.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace Jujubekeel {
+
+namespace {
+
+bool startsWith(const ServerCommand &command, std::string_view word)
+{
+    return std::string_view(command.argument).starts_with(word);
+}
+
+} // namespace
+
+StatementGroup::StatementGroup(StatementGroupOptions groupOptions, EventQueue &eventQueue, Callbacks groupCallbacks)
+    : options(std::move(groupOptions)), events(eventQueue), callbacks(std::move(groupCallbacks)),
+      random(this->options.seed), servers(this->options.domains.size())
+{
+    for (Server &server : this->servers)
+        server.applyLag = this->options.applyLag;
+    this->servers.front().primary = true;
+    this->record.leads.push_back(GroupHistory::Lead{.server = 0, .term = 1, .base = 0, .at = this->events.now()});
+}
+
+std::string StatementGroup::id(std::size_t server) const
+{
+    return this->options.service + "-" + std::to_string(server);
+}
+
+std::size_t StatementGroup::connectionCount(std::size_t server) const
+{
+    return static_cast<std::size_t>(std::count_if(this->connections.begin(), this->connections.end(),
+                                                  [&](const auto &entry) { return entry.second.server == server; }));
+}
+
+bool StatementGroup::connect(std::size_t server, std::uint64_t connection)
+{
+    if (!this->servers.at(server).running)
+        return false;
+    this->connections.emplace(connection, Connection{.server = server});
+    return true;
+}
+
+void StatementGroup::disconnect(std::uint64_t connection)
+{
+    this->connections.erase(connection);
+}
+
+void StatementGroup::drop(std::uint64_t connection)
+{
+    this->connections.erase(connection);
+    this->callbacks.dropped(connection);
+}
+
+void StatementGroup::receive(std::uint64_t connection, const ServerCommand &command)
+{
+    const auto found = this->connections.find(connection);
+    if (found == this->connections.end())
+        return;
+    found->second.commands.push_back(command);
+    if (found->second.commands.size() == 1)
+        this->next(connection);
+}
+
+void StatementGroup::next(std::uint64_t connection)
+{
+    const auto found = this->connections.find(connection);
+    if (found != this->connections.end() && !found->second.commands.empty())
+        this->perform(connection, ServerCommand(found->second.commands.front()));
+}
+
+void StatementGroup::answer(std::uint64_t connection, std::string digest, std::optional<OutcomeError> error)
+{
+    const auto found = this->connections.find(connection);
+    if (found == this->connections.end())
+        return;
+    if (error)
+        this->callbacks.deliver(connection, ServerMessage{.kind = ServerMessageKind::Error, .error = *error});
+    else
+        this->callbacks.deliver(connection, ServerMessage{.kind = ServerMessageKind::Done, .text = std::move(digest)});
+    this->callbacks.deliver(connection, ServerMessage{.kind = ServerMessageKind::Ready,
+                                                      .state = found->second.state,
+                                                      .position = this->applied(found->second.server)});
+    found->second.commands.pop_front();
+    this->next(connection);
+}
+
+void StatementGroup::refuse(std::uint64_t connection, OutcomeCode code)
+{
+    Connection &row = this->connections.at(connection);
+    if (row.state != SessionState::Idle)
+        row.state = SessionState::Failed;
+    this->answer(connection, {}, OutcomeError{.code = code, .text = this->id(row.server)});
+}
+
+void StatementGroup::perform(std::uint64_t connection, const ServerCommand &command)
+{
+    Connection &row = this->connections.at(connection);
+    Server &server = this->servers[row.server];
+    switch (command.kind) {
+    case CommandKind::Open:
+        this->greet(connection, command);
+        return;
+    case CommandKind::Begin:
+    case CommandKind::BeginReadOnly:
+        this->begin(connection, command);
+        return;
+    case CommandKind::Rollback:
+        row.state = SessionState::Idle;
+        row.writes.clear();
+        this->answer(connection, "-", std::nullopt);
+        return;
+    case CommandKind::SetValue:
+        row.values[command.name] = command.argument;
+        this->answer(connection, "-", std::nullopt);
+        return;
+    case CommandKind::PrepareRead:
+    case CommandKind::PrepareWrite:
+        row.prepared[command.name] = command.kind == CommandKind::PrepareWrite;
+        this->answer(connection, "-", std::nullopt);
+        return;
+    case CommandKind::ResetSession:
+        if (row.state != SessionState::Idle)
+            this->record.misuse.push_back("reset inside a transaction");
+        row.values.clear();
+        row.prepared.clear();
+        this->answer(connection, "-", std::nullopt);
+        return;
+    case CommandKind::PauseReplication:
+        server.heldTerm = command.term;
+        [[fallthrough]];
+    case CommandKind::ResumeReplication:
+    case CommandKind::StepDown:
+    case CommandKind::Status:
+        if (command.kind == CommandKind::ResumeReplication)
+            server.heldTerm = 0;
+        this->callbacks.deliver(connection,
+                                ServerMessage{.kind = ServerMessageKind::Row,
+                                              .status = ReplicationStatus{.isPrimary = server.primary,
+                                                                          .term = server.term,
+                                                                          .received = this->received(row.server),
+                                                                          .heldTerm = server.heldTerm}});
+        this->answer(connection, "-", std::nullopt);
+        return;
+    case CommandKind::Forward:
+    case CommandKind::Execute:
+        this->runStatement(connection, command);
+        return;
+    case CommandKind::Close:
+        this->disconnect(connection);
+        return;
+    }
+}
+
+void StatementGroup::greet(std::uint64_t connection, const ServerCommand &command)
+{
+    const std::size_t server = this->connections.at(connection).server;
+    const bool expected = command.name == this->options.service && command.argument == this->id(server);
+    const bool crowded = this->connectionCount(server) > this->options.connectionLimit;
+    if (!expected || crowded) {
+        const OutcomeCode code = expected ? OutcomeCode::Overload : OutcomeCode::Misrouted;
+        this->callbacks.deliver(connection,
+                                ServerMessage{.kind = ServerMessageKind::Error, .error = {.code = code, .text = {}}});
+        this->drop(connection);
+        return;
+    }
+    this->occupySlot(server, this->options.handshake, [this, connection, server] {
+        const auto found = this->connections.find(connection);
+        if (found == this->connections.end())
+            return;
+        found->second.open = true;
+        this->callbacks.deliver(
+            connection, ServerMessage{.kind = ServerMessageKind::Ready, .position = this->applied(server)});
+        found->second.commands.pop_front();
+        this->next(connection);
+    });
+}
+
+void StatementGroup::begin(std::uint64_t connection, const ServerCommand &command)
+{
+    Connection &row = this->connections.at(connection);
+    if (row.state != SessionState::Idle) {
+        this->record.misuse.push_back("begin inside a transaction");
+        this->refuse(connection, OutcomeCode::Malformed);
+        return;
+    }
+    if (command.kind == CommandKind::Begin && !this->servers[row.server].primary) {
+        this->refuse(connection, OutcomeCode::ReadOnly);
+        return;
+    }
+    if (command.after && !this->holds(row.server, *command.after)) {
+        this->refuse(connection, OutcomeCode::Lagging);
+        return;
+    }
+    row.state = SessionState::InTransaction;
+    row.readOnly = command.kind == CommandKind::BeginReadOnly;
+    row.writes.clear();
+    this->answer(connection, "-", std::nullopt);
+}
+
+bool StatementGroup::writes(const Connection &connection, const ServerCommand &command) const
+{
+    if (command.kind == CommandKind::Execute) {
+        const auto found = connection.prepared.find(command.name);
+        return found != connection.prepared.end() && found->second;
+    }
+    return startsWith(command, "WRITE");
+}
+
+void StatementGroup::runStatement(std::uint64_t connection, const ServerCommand &command)
+{
+    Connection &row = this->connections.at(connection);
+    const Server &server = this->servers[row.server];
+    if (command.kind == CommandKind::Execute && !row.prepared.contains(command.name)) {
+        this->refuse(connection, OutcomeCode::UnknownName);
+        return;
+    }
+    const bool commit = startsWith(command, "COMMIT");
+    const bool plainTransaction = row.state == SessionState::InTransaction && !row.readOnly;
+    const bool harmless = commit && row.writes.empty();
+    if (!server.primary && !harmless && (this->writes(row, command) || plainTransaction)) {
+        this->refuse(connection, OutcomeCode::ReadOnly);
+        return;
+    }
+    if (commit && row.state != SessionState::InTransaction) {
+        this->record.misuse.push_back("commit outside a transaction: " + command.id);
+        this->refuse(connection, OutcomeCode::Malformed);
+        return;
+    }
+    if (command.after && !this->holds(row.server, *command.after)) {
+        this->refuse(connection, OutcomeCode::Lagging);
+        return;
+    }
+    if (server.busySlots >= this->options.slots && server.waiting.size() >= this->options.queueLimit) {
+        this->refuse(connection, OutcomeCode::Busy);
+        return;
+    }
+    const Duration work = this->options.work / 2
+                          + Duration(static_cast<std::int64_t>(
+                              this->random.below(static_cast<std::uint64_t>(this->options.work.count()) * 3 / 2 + 1)));
+    const std::uint64_t starts = server.starts;
+    this->occupySlot(row.server, work, [this, connection, command, starts, at = row.server] {
+        if (this->connections.contains(connection) && this->servers[at].starts == starts)
+            this->finishStatement(connection, command, this->applied(at));
+    });
+}
+
+void StatementGroup::finishStatement(std::uint64_t connection, const ServerCommand &command, LogPosition appliedNow)
+{
+    Connection &row = this->connections.at(connection);
+    const Server &server = this->servers[row.server];
+    const bool commit = startsWith(command, "COMMIT");
+    if (commit) {
+        if (!row.writes.empty()) {
+            if (!server.primary) {
+                row.writes.clear();
+                this->refuse(connection, OutcomeCode::ReadOnly);
+                return;
+            }
+            this->append(row.server, {.writes = row.writes, .commit = command.id, .server = row.server});
+        }
+        row.state = SessionState::Idle;
+        row.writes.clear();
+    } else if (this->writes(row, command)) {
+        if (!server.primary) {
+            this->refuse(connection, OutcomeCode::ReadOnly);
+            return;
+        }
+        if (row.state == SessionState::InTransaction)
+            row.writes.push_back(command.id);
+        else
+            this->append(row.server, {.writes = {command.id}, .commit = command.id, .server = row.server});
+    } else {
+        this->record.reads.push_back(GroupHistory::Read{.id = command.id, .server = row.server, .applied = appliedNow});
+        std::string values;
+        for (const auto &[name, value] : row.values)
+            values.append(name).append("=").append(value).append(";");
+        this->callbacks.deliver(connection, ServerMessage{.kind = ServerMessageKind::Row, .text = values});
+    }
+    if (this->random.chance(server.lostAnswers)) {
+        this->drop(connection);
+        return;
+    }
+    this->answer(connection, this->id(row.server) + ":" + command.id, std::nullopt);
+}
+
+void StatementGroup::occupySlot(std::size_t index, Duration duration, std::function<void()> done)
+{
+    Server &server = this->servers[index];
+    const std::uint64_t starts = server.starts;
+    auto job = [this, index, duration, starts, finished = std::move(done)] {
+        this->servers[index].busySlots += 1;
+        this->events.add(this->events.now() + duration, [this, index, starts, finished] {
+            if (this->servers[index].starts != starts)
+                return;
+            finished();
+            this->freeSlot(index);
+        });
+    };
+    if (server.busySlots < this->options.slots)
+        job();
+    else
+        server.waiting.push_back(std::move(job));
+}
+
+void StatementGroup::freeSlot(std::size_t index)
+{
+    Server &server = this->servers[index];
+    server.busySlots -= 1;
+    if (server.waiting.empty())
+        return;
+    const auto job = std::move(server.waiting.front());
+    server.waiting.pop_front();
+    job();
+}
+
+LogPosition StatementGroup::received(std::size_t server) const
+{
+    const auto &log = this->servers[server].log;
+    return log.empty() ? LogPosition{.term = 1, .position = 0} : log.back().position;
+}
+
+LogPosition StatementGroup::applied(std::size_t index) const
+{
+    const Server &server = this->servers[index];
+    if (server.primary)
+        return this->received(index);
+    LogPosition position{.term = 1, .position = 0};
+    for (const Entry &entry : server.log) {
+        if (entry.receivedAt + server.applyLag > this->events.now())
+            break;
+        position = entry.position;
+    }
+    return position;
+}
+
+bool StatementGroup::holds(std::size_t server, LogPosition position) const
+{
+    if (position.position == 0)
+        return true;
+    const LogPosition upTo = this->applied(server);
+    const auto &log = this->servers[server].log;
+    return position.position <= upTo.position && log.at(position.position - 1).position == position;
+}
+
+void StatementGroup::append(std::size_t index, GroupHistory::Commit commit)
+{
+    Server &server = this->servers[index];
+    const LogPosition position{.term = server.term, .position = server.log.size() + 1};
+    server.log.push_back(Entry{.position = position, .receivedAt = this->events.now()});
+    commit.position = position;
+    commit.at = this->events.now();
+    this->record.commits.push_back(std::move(commit));
+    for (std::size_t other = 0; other < this->servers.size(); ++other) {
+        if (other != index)
+            this->events.add(this->events.now() + this->options.shipping, [this, index, other] { this->ship(index, other); });
+    }
+}
+
+void StatementGroup::ship(std::size_t from, std::size_t to)
+{
+    const Server &source = this->servers[from];
+    Server &target = this->servers[to];
+    const bool connected = source.running && target.running && !source.cut && !target.cut;
+    if (!connected || !source.primary || target.primary || target.term > source.term || target.heldTerm > source.term)
+        return;
+    target.term = source.term;
+    for (std::size_t index = target.log.size(); index < source.log.size(); ++index)
+        target.log.push_back(Entry{.position = source.log[index].position, .receivedAt = this->events.now()});
+}
+
+bool StatementGroup::promote(std::size_t index)
+{
+    if (!this->servers.at(index).running)
+        return false;
+    if (!this->servers[index].primary)
+        this->events.add(this->events.now() + this->options.promotion, [this, index] { this->lead(index); });
+    return true;
+}
+
+void StatementGroup::lead(std::size_t index)
+{
+    Server &leader = this->servers[index];
+    if (!leader.running || leader.primary)
+        return;
+    std::uint64_t term = 0;
+    for (const Server &server : this->servers)
+        term = std::max(term, server.term);
+    leader.term = term + 1;
+    leader.primary = true;
+    leader.heldTerm = 0;
+    this->record.leads.push_back(GroupHistory::Lead{
+        .server = index, .term = leader.term, .base = leader.log.size(), .at = this->events.now()});
+    for (std::size_t other = 0; other < this->servers.size(); ++other) {
+        if (other == index)
+            continue;
+        const Duration wait = this->servers[other].primary ? this->options.demotion : Duration{0};
+        this->events.add(this->events.now() + wait, [this, other, index] { this->follow(other, index); });
+    }
+}
+
+void StatementGroup::follow(std::size_t index, std::size_t leaderIndex)
+{
+    Server &server = this->servers[index];
+    const Server &leader = this->servers[leaderIndex];
+    if (!server.running || !leader.running || !leader.primary || server.cut || leader.cut || server.term >= leader.term)
+        return;
+    // What the new primary does not have is rolled back.
+    std::size_t common = 0;
+    while (common < server.log.size() && common < leader.log.size()
+           && server.log[common].position == leader.log[common].position)
+        common += 1;
+    server.log.resize(common);
+    server.primary = false;
+    server.heldTerm = 0;
+    server.term = leader.term;
+    this->ship(leaderIndex, index);
+}
+
+void StatementGroup::setRunning(std::size_t index, bool running)
+{
+    Server &server = this->servers.at(index);
+    if (server.running == running)
+        return;
+    server.running = running;
+    server.starts += 1;
+    server.busySlots = 0;
+    server.waiting.clear();
+    if (!running) {
+        std::vector<std::uint64_t> lost;
+        for (const auto &[connection, row] : this->connections) {
+            if (row.server == index)
+                lost.push_back(connection);
+        }
+        for (const std::uint64_t connection : lost)
+            this->drop(connection);
+        return;
+    }
+    // It comes back with its log, as a replica if another server leads a later term.
+    for (std::size_t other = 0; other < this->servers.size(); ++other) {
+        if (this->servers[other].primary && this->servers[other].term > server.term) {
+            server.primary = false;
+            this->follow(index, other);
+        }
+    }
+}
+
+void StatementGroup::setReplicationCut(std::size_t index, bool cut)
+{
+    this->servers.at(index).cut = cut;
+    if (cut)
+        return;
+    for (std::size_t leader = 0; leader < this->servers.size(); ++leader) {
+        if (!this->servers[leader].primary)
+            continue;
+        for (std::size_t other = 0; other < this->servers.size(); ++other) {
+            if (other == leader)
+                continue;
+            const Duration wait = this->servers[other].primary ? this->options.demotion : Duration{0};
+            this->events.add(this->events.now() + wait, [this, other, leader] { this->follow(other, leader); });
+            this->ship(leader, other);
+        }
+    }
+}
+
+} // namespace Jujubekeel
