--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -45,6 +45,27 @@
     return found == this->world.serviceByName.end() ? ServiceId{} : found->second;
 }
 
+std::string DispatchSystem::describePrimary(const SessionRow &session) const
+{
+    const ServiceId id = this->serviceOf(session);
+    if (!id.isValid())
+        return "no server known";
+    const ServiceRow &service = this->world.services.at(id);
+    const ServerRow *primary = this->world.servers.find(service.primary);
+    std::string text = service.primaryId.empty() ? "no primary" : "primary " + service.primaryId;
+    text += " epoch " + std::to_string(service.epoch);
+    if (service.changing)
+        text += ", being replaced";
+    if (primary == nullptr)
+        text += ", not listed";
+    else if (primary->unreachableSince.count() != 0)
+        text +=
+            ", unreachable for " + std::to_string((this->world.now - primary->unreachableSince).count() / 1000) + " ms";
+    text += ", proof " + std::to_string((this->world.now - service.currentAt).count() / 1000) + " ms old";
+    text += ", links " + std::to_string(primary == nullptr ? 0 : primary->links.size());
+    return text + ", waiting " + std::to_string(service.queue.size());
+}
+
 void DispatchSystem::submit(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
--- a/src/pool/dispatchsystem.h
+++ b/src/pool/dispatchsystem.h
@@ -48,6 +48,8 @@
     /// Asks an idle primary for its position, so that reads can go to replicas. Returns true if a question is under way.
     bool askPosition(ServiceId service);
 
+    /// What this instance believes of the session's primary, for logs: id, leadership, age of the proof, links, queue.
+    [[nodiscard]] std::string describePrimary(const SessionRow &session) const;
     [[nodiscard]] ServiceId serviceOf(const SessionRow &session) const;
 
 private:
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -258,6 +258,7 @@
                          {"code", std::string(codeName(reply.error->code))},
                          {"reason", reply.error->text},
                          {"sent", work.sent ? "true" : "false"},
+                         {"primaryState", this->dispatch.describePrimary(session)},
                          {"attempts", std::to_string(work.attempts)},
                          {"tookMs", std::to_string(took.count() / 1000)}});
     } else {
--- /dev/null
+++ b/src/programs/fake-statement-platform/servercodec.cpp
@@ -0,0 +1,114 @@
+#include "programs/fake-statement-platform/servercodec.h"
+
+#include "linecodec.h"
+
+#include <cstdlib>
+
+namespace Jujubekeel {
+
+namespace {
+
+std::string takeWord(std::string_view &rest)
+{
+    const std::size_t blank = rest.find(' ');
+    const std::string word(rest.substr(0, blank));
+    rest = blank == std::string_view::npos ? std::string_view{} : rest.substr(blank + 1);
+    return word;
+}
+
+LogPosition toPosition(const std::string &text)
+{
+    char *end = nullptr;
+    const std::uint64_t term = std::strtoull(text.c_str(), &end, 10);
+    return LogPosition{.term = term, .position = *end == '.' ? std::strtoull(end + 1, nullptr, 10) : 0};
+}
+
+std::string toText(LogPosition position)
+{
+    return std::to_string(position.term) + "." + std::to_string(position.position);
+}
+
+/// Statements that are more than text to a backend server.
+void decodeText(std::string_view text, ServerCommand &command)
+{
+    std::string_view rest = text;
+    const std::string verb = takeWord(rest);
+    command.kind = CommandKind::Forward;
+    command.argument = std::string(text);
+    if (verb == "BEGIN") {
+        command.kind = rest == "READ" ? CommandKind::BeginReadOnly : CommandKind::Begin;
+    } else if (verb == "ROLLBACK") {
+        command.kind = CommandKind::Rollback;
+    } else if (verb == "RESET") {
+        command.kind = CommandKind::ResetSession;
+    } else if (verb == "STATUS") {
+        command.kind = CommandKind::Status;
+    } else if (verb == "RESUME") {
+        command.kind = CommandKind::ResumeReplication;
+    } else if (verb == "PAUSE" || verb == "STEPDOWN") {
+        command.kind = verb == "PAUSE" ? CommandKind::PauseReplication : CommandKind::StepDown;
+        command.term = std::strtoull(std::string(rest).c_str(), nullptr, 10);
+    } else if (verb == "SET" || verb == "EXECUTE") {
+        command.kind = verb == "SET" ? CommandKind::SetValue : CommandKind::Execute;
+        command.name = takeWord(rest);
+        command.argument = std::string(rest);
+    } else if (verb == "PREPARE") {
+        command.name = takeWord(rest);
+        command.kind = takeWord(rest) == "WRITE" ? CommandKind::PrepareWrite : CommandKind::PrepareRead;
+        command.argument = std::string(rest);
+    }
+}
+
+} // namespace
+
+std::optional<ServerCommand> decodeCommand(std::string_view line)
+{
+    std::string_view rest = line;
+    const std::string verb = takeWord(rest);
+    ServerCommand command;
+    if (verb == "CONNECT") {
+        command.kind = CommandKind::Open;
+        command.name = takeWord(rest);
+        takeWord(rest);
+        command.argument = std::string(rest);
+        return command;
+    }
+    if (verb == "BYE") {
+        command.kind = CommandKind::Close;
+        return command;
+    }
+    if (verb != "QUERY")
+        return std::nullopt;
+    command.id = takeWord(rest);
+    if (rest.starts_with("AFTER ")) {
+        takeWord(rest);
+        command.after = toPosition(takeWord(rest));
+    }
+    decodeText(rest, command);
+    return command;
+}
+
+std::string encodeServerMessage(const ServerMessage &message)
+{
+    switch (message.kind) {
+    case ServerMessageKind::Row: {
+        if (!message.status)
+            return "ROW " + message.text + "\r\n";
+        const ReplicationStatus &status = *message.status;
+        return std::string("ROW ") + (status.isPrimary ? "primary " : "replica ") + std::to_string(status.term) + " "
+               + toText(status.received) + " " + std::to_string(status.heldTerm) + " 0 0 0\r\n";
+    }
+    case ServerMessageKind::Done:
+        return "DONE " + message.text + "\r\n";
+    case ServerMessageKind::Error:
+        return encodeError(message.error);
+    case ServerMessageKind::Ready:
+        break;
+    }
+    const char letter = message.state == SessionState::Idle            ? 'I'
+                        : message.state == SessionState::InTransaction ? 'T'
+                                                                       : 'E';
+    return std::string("READY ") + letter + " " + (message.position ? toText(*message.position) : "-") + "\r\n";
+}
+
+} // namespace Jujubekeel
--- a/src/virtualpool/fleetstore.cpp
+++ b/src/virtualpool/fleetstore.cpp
@@ -4,19 +4,21 @@
 
 namespace Jujubekeel {
 
-FleetStore::Answer FleetStore::list() const
+FleetStore::Answer FleetStore::list(std::string_view prefix) const
 {
     Answer answer{.revision = this->revision};
-    for (const auto &[name, object] : this->objects)
-        answer.objects.push_back(object);
+    for (const auto &[name, object] : this->objects) {
+        if (name.starts_with(prefix))
+            answer.objects.push_back(object);
+    }
     return answer;
 }
 
-FleetStore::Answer FleetStore::since(std::uint64_t from) const
+FleetStore::Answer FleetStore::since(std::uint64_t from, std::string_view prefix) const
 {
     Answer answer{.revision = this->revision, .historyGone = from < this->oldestKnown};
     for (const FleetObject &object : this->history) {
-        if (object.revision > from)
+        if (object.revision > from && object.name.starts_with(prefix))
             answer.objects.push_back(object);
     }
     return answer;
--- a/src/virtualpool/fleetstore.h
+++ b/src/virtualpool/fleetstore.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Jujubekeel {
@@ -27,7 +28,10 @@
         bool historyGone = false;
     };
 
-    [[nodiscard]] Answer list() const;
+    /// Objects whose names begin with \a prefix.
+    [[nodiscard]] Answer list(std::string_view prefix = {}) const;
+    /// Changes after a revision.
+    [[nodiscard]] Answer since(std::uint64_t revision, std::string_view prefix = {}) const;
     /// Calls \a done at once if there is news after \a revision, else with the first, or empty after \a wait.
     void watch(std::uint64_t revision, Duration wait, std::function<void(Answer answer)> done);
     [[nodiscard]] WriteOutcome write(const WriteFleetObject &write);
@@ -45,7 +49,6 @@
     };
 
     void changed(FleetObject object);
-    [[nodiscard]] Answer since(std::uint64_t revision) const;
 
     EventQueue &events;
     std::map<std::string, FleetObject> objects;
--- /dev/null
+++ b/tests/process/statements.sh
@@ -0,0 +1,62 @@
+#!/usr/bin/env bash
+# Guards against the real processes doing other than the decisions: statements, transactions, a new configuration, a
+# killed primary, a killed instance, an outage of the store and a planned stop, over the statement protocol.
+set -euo pipefail
+source=${JUJUBEKEEL_SOURCE_DIR:?}
+build=${JUJUBEKEEL_BINARY_DIR:?}
+work=$(mktemp -d)
+# shellcheck source=tools/lib/fleet.sh
+. "$source/tools/lib/fleet.sh"
+# shellcheck source=tools/lib/statements.sh
+. "$source/tools/lib/statements.sh"
+trap stop_fleet EXIT
+
+step="start"
+start_statement_platform
+start_entry first 1
+start_entry second 2
+
+step="a transaction reads its own write"
+write_until_done 1 filings warm || fail "no write is acknowledged: $answer"
+open_session 1 filings || fail "no session: $answer"
+statement t1 BEGIN && [[ $answer == "DONE - | READY T"* ]] || fail "begin: $answer"
+statement t2 "WRITE item data" && [[ $answer == DONE*READY\ T* ]] || fail "write: $answer"
+statement t3 "READ item" && [[ $answer == ROW*DONE*READY\ T* ]] || fail "read: $answer"
+statement t4 COMMIT && [[ $answer == DONE*READY\ I* ]] || fail "commit: $answer"
+statement t5 "READ item" && [[ $answer == *DONE*READY\ I* ]] || fail "read after commit: $answer"
+close_session
+
+step="an unknown database"
+open_session 1 nowhere && fail "a session on an unknown database was opened"
+[[ $answer == "ERROR NODB"* ]] || fail "answer: $answer"
+
+step="malformed input"
+exec 5<>"/dev/tcp/$statement_network.11/7200"
+printf 'NONSENSE\r\n' >&5
+read_answer || true
+[[ $answer == "ERROR MALFORMED"* ]] || fail "answer: $answer"
+close_session
+
+step="a new configuration"
+put_routes 2 filings lookups orders || fail "the configuration was not accepted"
+wait_until 20 write_until_done 2 orders new || fail "the new route is not served: $answer"
+
+step="outage of the store"
+server_fault '{"down": true}'
+write_until_done 1 filings outage || fail "no write during the outage: $answer"
+server_fault '{"down": false}'
+
+step="killed primary"
+server_fault '{"server": 0, "running": false}'
+write_until_done 1 filings failover || fail "no write after the failover: $answer"
+write_until_done 2 filings failover || fail "no write through the second instance: $answer"
+
+step="killed instance"
+kill -KILL "${fleet_pid_of[first]}"
+start_entry first 1
+write_until_done 1 filings restarted || fail "no write through the restarted instance: $answer"
+
+step="planned stop"
+kill -TERM "${fleet_pid_of[second]}"
+wait "${fleet_pid_of[second]}" || fail "the planned stop ended with $?"
+write_until_done 1 filings last || fail "no write after the planned stop: $answer"
