--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -21,7 +21,7 @@
     std::uint32_t spareConnections = 2;  ///< of each server, kept free for restarts and for promotion
 
     Duration queueWait = std::chrono::milliseconds(800);    ///< wait for a connection before Busy
-    Duration primaryWait = std::chrono::milliseconds(3000); ///< the same while the primary is being replaced
+    Duration primaryWait = std::chrono::milliseconds(1800); ///< the same while the primary is being replaced
     Duration openTimeout = std::chrono::milliseconds(1000); ///< connect and greeting
     Duration retryFirst = std::chrono::milliseconds(100);   ///< pause after a failed connect; doubles
     Duration retryLast = std::chrono::milliseconds(800);
--- a/src/programs/fake-statement-platform/servercodec.cpp
+++ b/src/programs/fake-statement-platform/servercodec.cpp
@@ -11,7 +11,7 @@
 std::string takeWord(std::string_view &rest)
 {
     const std::size_t blank = rest.find(' ');
-    const std::string word(rest.substr(0, blank));
+    std::string word(rest.substr(0, blank));
     rest = blank == std::string_view::npos ? std::string_view{} : rest.substr(blank + 1);
     return word;
 }
