Count only instances that have asked the primary; measure failover in virtual time

Cause: the new failover table showed no replacement of a dark primary with six instances of which three had no traffic: these said that it was reachable without having asked it. Ruled out: more traffic as the cure; quiet instances are usual at night.

--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -326,7 +326,15 @@
         this->world.log(LogLevel::Warning, own ? "primary-unreachable" : "primary-reachable",
                         {{"service", service.name}, {"primary", service.primaryId}});
     suspicion.own = own;
-    this->desired.views[service.name] = own ? PrimaryView::Unreachable : PrimaryView::Reachable;
+    if (own) {
+        this->desired.views[service.name] = PrimaryView::Unreachable;
+    } else if (primary != nullptr && primary->lastAnswerAt > suspicion.since) {
+        this->desired.views[service.name] = PrimaryView::Reachable;
+    } else {
+        // An instance without traffic does not know; the question tells.
+        this->desired.views.erase(service.name);
+        this->dispatch.askPosition(id);
+    }
 }
 
 std::uint32_t LeadershipSystem::rank(const std::string &service) const
@@ -380,12 +388,16 @@
     const auto suspicion = this->suspicions.find(service.name);
     if (suspicion == this->suspicions.end())
         return false;
-    int balance = suspicion->second.own ? 1 : -1;
+    int balance = 0;
+    const auto count = [&](const MemberRecord &record) {
+        const auto seen = record.views.find(service.name);
+        if (seen != record.views.end())
+            balance += seen->second == PrimaryView::Unreachable ? 1 : -1;
+    };
+    count(this->desired);
     for (const auto &[instance, member] : this->view.members()) {
-        const auto seen = member.record.views.find(service.name);
-        if (instance == this->world.options.instance || seen == member.record.views.end())
-            continue;
-        balance += seen->second == PrimaryView::Unreachable ? 1 : -1;
+        if (instance != this->world.options.instance)
+            count(member.record);
     }
     return balance > 0
            && this->world.now - suspicion->second.since >= this->options.viewWait + this->dueAfter(service.name);
--- /dev/null
+++ b/src/programs/jujubekeel-poolbench/main.cpp
@@ -0,0 +1,63 @@
+#include "programs/commandline/commandline.h"
+#include "programs/jujubekeel-poolbench/failovertable.h"
+#include "virtualpool/poolfaults.h"
+
+#include <cstdint>
+#include <cstdio>
+
+namespace {
+
+using namespace Jujubekeel;
+
+constexpr const char *usage = R"(Plays entry instances, backend servers and the store in virtual time.
+
+Usage:
+  jujubekeel-poolbench random [--from=SEED] [--runs=N]
+  jujubekeel-poolbench failover [--seeds=N]
+  jujubekeel-poolbench (--help | --version)
+
+Options:
+  --from=SEED  first seed [default: 1]
+  --runs=N     runs, one seed each [default: 200]
+  --seeds=N    seeds for each row of the table [default: 10]
+  -h --help    show this text
+  --version    show the version
+
+random: one to five faults in each run, all rules checked; exit status 1 if a rule was broken.
+failover: a table of troubles of the primary and of the store, for two leases.
+)";
+
+int playRandomFaults(std::uint64_t from, std::uint64_t runs)
+{
+    std::uint64_t broken = 0;
+    std::size_t operations = 0;
+    std::size_t answered = 0;
+    std::uint64_t promotions = 0;
+    for (std::uint64_t seed = from; seed < from + runs; ++seed) {
+        const PoolRunResult result = runRandomFaults(seed);
+        operations += result.operations;
+        answered += result.answered;
+        promotions += result.promotions;
+        if (result.violations.empty())
+            continue;
+        broken += 1;
+        std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), result.violations.front().c_str());
+    }
+    std::printf("%llu runs from seed %llu: %llu with a broken rule; %zu operations, %zu answered, %llu promotions\n",
+                static_cast<unsigned long long>(runs), static_cast<unsigned long long>(from),
+                static_cast<unsigned long long>(broken), operations, answered,
+                static_cast<unsigned long long>(promotions));
+    return broken == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    const CommandLine options(usage, "jujubekeel-poolbench 0.1.0", argumentCount, arguments);
+    if (options.isGiven("failover")) {
+        printFailoverTable(options.number("--seeds", 1, 1000));
+        return 0;
+    }
+    return playRandomFaults(options.number("--from", 1, 1'000'000'000), options.number("--runs", 1, 1'000'000));
+}
--- /dev/null
+++ b/src/virtualpool/poolfaults.cpp
@@ -0,0 +1,98 @@
+#include "virtualpool/poolfaults.h"
+
+#include "virtualpool/poolchecker.h"
+
+#include <algorithm>
+
+namespace Jujubekeel {
+
+namespace {
+
+constexpr Duration warmUp = std::chrono::seconds(2);
+constexpr Duration loadTime = std::chrono::seconds(12);
+/// From the start of the load until everything has been answered or given up.
+constexpr Duration runTime = std::chrono::seconds(32);
+constexpr std::uint64_t faultWindowMs = 10000;
+constexpr std::uint64_t faultLimit = 5;
+
+} // namespace
+
+void applyRandomFault(VirtualPool &pool, SeededRandom &random)
+{
+    const std::size_t instance = random.below(3);
+    const std::size_t server = random.below(3);
+    const Duration length = std::chrono::milliseconds(300 + static_cast<std::int64_t>(random.below(6000)));
+    switch (random.below(11)) {
+    case 0:
+        pool.stopServer(server);
+        pool.at(length, [&pool, server] { pool.startServer(server); });
+        return;
+    case 1:
+        pool.killInstance(instance);
+        pool.at(length / 4, [&pool, instance] { pool.startInstance(instance); });
+        return;
+    case 2:
+        pool.freezeInstance(instance, length);
+        return;
+    case 3:
+        pool.setStoreReachable(instance, false);
+        pool.at(length, [&pool, instance] { pool.setStoreReachable(instance, true); });
+        return;
+    case 4:
+        pool.setStoreAvailable(false);
+        pool.at(length, [&pool] { pool.setStoreAvailable(true); });
+        return;
+    case 5:
+        pool.cutInstanceFromServer(instance, server, true);
+        pool.at(length, [&pool, instance, server] { pool.cutInstanceFromServer(instance, server, false); });
+        return;
+    case 6:
+        for (std::size_t each = 0; each < 3; ++each)
+            pool.cutInstanceFromServer(each, server, each != instance);
+        pool.at(length, [&pool, server] {
+            for (std::size_t each = 0; each < 3; ++each)
+                pool.cutInstanceFromServer(each, server, false);
+        });
+        return;
+    case 7:
+        pool.group().setReplicationCut(server, true);
+        pool.at(length, [&pool, server] { pool.group().setReplicationCut(server, false); });
+        return;
+    case 8:
+        pool.group().setApplyLag(server, length / 4);
+        pool.at(length, [&pool, server] { pool.group().setApplyLag(server, std::chrono::milliseconds(20)); });
+        return;
+    case 9:
+        pool.group().setLostAnswers(server, 10);
+        pool.at(length, [&pool, server] { pool.group().setLostAnswers(server, 0); });
+        return;
+    default:
+        pool.setStoreAnswersLost(true);
+        pool.at(length / 2, [&pool] { pool.setStoreAnswersLost(false); });
+        return;
+    }
+}
+
+PoolRunResult runRandomFaults(std::uint64_t seed)
+{
+    SeededRandom random(seed);
+    VirtualPool pool({.seed = seed});
+    PoolWorkload workload(pool, {.seed = seed});
+    pool.run(warmUp);
+    workload.start(pool.now() + loadTime);
+    const std::uint64_t faults = 1 + random.below(faultLimit);
+    for (std::uint64_t fault = 0; fault < faults; ++fault) {
+        const auto delay = static_cast<std::int64_t>(random.below(faultWindowMs));
+        pool.at(std::chrono::milliseconds(delay), [&] { applyRandomFault(pool, random); });
+    }
+    pool.run(runTime);
+
+    const auto &all = workload.operations();
+    return PoolRunResult{.violations = findViolations(pool.group().history(), workload),
+                         .operations = all.size(),
+                         .answered = static_cast<std::size_t>(std::count_if(
+                             all.begin(), all.end(), [](const PoolOperation &entry) { return entry.answered; })),
+                         .promotions = pool.promotions()};
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/virtualpool/poolfaults.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "virtualfleet/seededrandom.h"
+#include "virtualpool/poolworkload.h"
+#include "virtualpool/virtualpool.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// Draws a fault and applies it at once: servers, instances, store, links, lag or answers, for 0.3 to 6.3 s. It ends by
+/// itself.
+void applyRandomFault(VirtualPool &pool, SeededRandom &random);
+
+/// What one run under load showed.
+struct PoolRunResult
+{
+    std::vector<std::string> violations;
+    std::size_t operations = 0;
+    std::size_t answered = 0;
+    std::uint64_t promotions = 0;
+};
+
+/// Runs the usual load for 12 s with one to five random faults, then lets the fleet settle and checks all rules.
+[[nodiscard]] PoolRunResult runRandomFaults(std::uint64_t seed);
+
+} // namespace Jujubekeel
--- a/src/virtualpool/poolworkload.cpp
+++ b/src/virtualpool/poolworkload.cpp
@@ -31,6 +31,8 @@
     : pool(virtualPool), options(workloadOptions), random(workloadOptions.seed * 7919 + 1),
       callers(workloadOptions.callers), serials(workloadOptions.callers, 0)
 {
+    if (this->options.instances == 0)
+        this->options.instances = static_cast<std::uint32_t>(this->pool.instanceCount());
     this->pool.setOnReply([this](VirtualPool::CallerId session, const CallerReply &reply) {
         this->pool.at(Duration{0}, [this, session, reply] { this->received(session, reply); });
     });
@@ -82,7 +84,7 @@
         caller.value.clear();
         caller.session.reset();
         for (int attempt = 0; attempt < 3 && !caller.session; ++attempt)
-            caller.session = this->pool.openCaller(this->random.below(3), caller.database);
+            caller.session = this->pool.openCaller(this->random.below(this->options.instances), caller.database);
         if (!caller.session) {
             this->pause(index);
             return;
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -87,6 +87,7 @@
     /// Answers of writes to the store are lost after they have taken effect.
     void setStoreAnswersLost(bool lost) { this->storeAnswersLost = lost; }
 
+    [[nodiscard]] std::size_t instanceCount() const { return this->nodes.size(); }
     [[nodiscard]] StatementGroup &group() { return *this->servers; }
     [[nodiscard]] FleetStore &store() { return this->fleetStore; }
     [[nodiscard]] const PoolCore *core(std::size_t instance) const { return this->nodes.at(instance)->core.get(); }
--- a/tests/pool/poolfleettest.cpp
+++ b/tests/pool/poolfleettest.cpp
@@ -1,4 +1,5 @@
 #include "pool/poolsupport.h"
+#include "virtualpool/poolfaults.h"
 
 #include <algorithm>
 
@@ -95,6 +96,22 @@
     EXPECT_LE(run.writeGap(cut), milliseconds(4300));
 }
 
+// Guards against instances without traffic outvoting those that miss the primary: they said that it was reachable
+// without having asked it.
+TEST(PoolFleet, IdleInstancesDoNotKeepADarkPrimary)
+{
+    VirtualPool pool({.instances = 6});
+    PoolWorkload workload(pool, {.instances = 3});
+    pool.run(seconds(2));
+    workload.start(pool.now() + seconds(12));
+    pool.run(seconds(3));
+    for (std::size_t instance = 0; instance < 6; ++instance)
+        pool.cutInstanceFromServer(instance, 0, true);
+    pool.run(seconds(20));
+    EXPECT_EQ(pool.promotions(), 1U);
+    EXPECT_EQ(joined(findViolations(pool.group().history(), workload)), "");
+}
+
 // Guards against refusals and lost commits when a primary leaves as planned.
 TEST(PoolFleet, LeavingPrimaryIsReplacedWithoutALoss)
 {
@@ -114,6 +131,22 @@
         EXPECT_TRUE(commit.position.term == leads[1].term || commit.position.position <= leads[1].base);
 }
 
+// Guards against new work at a replica that leaves, beyond the few seconds that the users allow.
+TEST(PoolFleet, LeavingReplicaGetsNoNewWork)
+{
+    LoadedPool run;
+    run.pool.run(seconds(3));
+    run.pool.setDraining(1);
+    run.pool.run(seconds(2));
+    const auto readsThere = [&] {
+        const auto &reads = run.pool.group().history().reads;
+        return std::count_if(reads.begin(), reads.end(), [](const auto &read) { return read.server == 1; });
+    };
+    const auto before = readsThere();
+    run.finish();
+    EXPECT_EQ(readsThere(), before);
+}
+
 // Guards against lost answers of a living primary being taken for its death (trouble-1 of the second site replaced one).
 TEST(PoolFleet, PrimaryThatLosesAnswersStays)
 {
@@ -279,63 +312,6 @@
     EXPECT_EQ(run.pool.countLogs("replacement-started"), 0U);
 }
 
-/// Draws a fault from the generator and applies it; faults end by themselves.
-void applyRandomFault(VirtualPool &pool, SeededRandom &random)
-{
-    const std::size_t instance = random.below(3);
-    const std::size_t server = random.below(3);
-    const Duration length = milliseconds(300 + static_cast<std::int64_t>(random.below(6000)));
-    switch (random.below(11)) {
-    case 0:
-        pool.stopServer(server);
-        pool.at(length, [&pool, server] { pool.startServer(server); });
-        return;
-    case 1:
-        pool.killInstance(instance);
-        pool.at(length / 4, [&pool, instance] { pool.startInstance(instance); });
-        return;
-    case 2:
-        pool.freezeInstance(instance, length);
-        return;
-    case 3:
-        pool.setStoreReachable(instance, false);
-        pool.at(length, [&pool, instance] { pool.setStoreReachable(instance, true); });
-        return;
-    case 4:
-        pool.setStoreAvailable(false);
-        pool.at(length, [&pool] { pool.setStoreAvailable(true); });
-        return;
-    case 5:
-        pool.cutInstanceFromServer(instance, server, true);
-        pool.at(length, [&pool, instance, server] { pool.cutInstanceFromServer(instance, server, false); });
-        return;
-    case 6:
-        for (std::size_t each = 0; each < 3; ++each)
-            pool.cutInstanceFromServer(each, server, each != instance);
-        pool.at(length, [&pool, server] {
-            for (std::size_t each = 0; each < 3; ++each)
-                pool.cutInstanceFromServer(each, server, false);
-        });
-        return;
-    case 7:
-        pool.group().setReplicationCut(server, true);
-        pool.at(length, [&pool, server] { pool.group().setReplicationCut(server, false); });
-        return;
-    case 8:
-        pool.group().setApplyLag(server, length / 4);
-        pool.at(length, [&pool, server] { pool.group().setApplyLag(server, milliseconds(20)); });
-        return;
-    case 9:
-        pool.group().setLostAnswers(server, 10);
-        pool.at(length, [&pool, server] { pool.group().setLostAnswers(server, 0); });
-        return;
-    default:
-        pool.setStoreAnswersLost(true);
-        pool.at(length / 2, [&pool] { pool.setStoreAnswersLost(false); });
-        return;
-    }
-}
-
 class RandomFaults : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -343,13 +319,7 @@
 // Guards against any of the rules being broken by faults that overlap.
 TEST_P(RandomFaults, KeepAllRules)
 {
-    SeededRandom random(GetParam());
-    LoadedPool run(GetParam());
-    const std::uint64_t faults = 1 + random.below(5);
-    for (std::uint64_t fault = 0; fault < faults; ++fault)
-        run.pool.at(milliseconds(static_cast<std::int64_t>(random.below(10000))),
-                    [&] { applyRandomFault(run.pool, random); });
-    run.finish();
+    EXPECT_EQ(joined(runRandomFaults(GetParam()).violations), "");
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomFaults, testing::Range<std::uint64_t>(1, 121));
