--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -35,7 +35,7 @@
     Duration crossRegionCost = std::chrono::milliseconds(20);
     Duration authorityLease = std::chrono::milliseconds(6000); ///< age up to which the authority record is acted on
 
-    // Planned stop, counted from its request.
+    // Planned stop, counted from its request, for a process that is killed after 6 s.
     Duration stopDrainDelay = std::chrono::milliseconds(2200);   ///< idle sessions stay until traffic has moved away
     Duration stopTransactions = std::chrono::milliseconds(3400); ///< open transactions are rolled back
     Duration stopNewWork = std::chrono::milliseconds(4300);      ///< new statements are refused
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -113,7 +113,7 @@
         this->begin(id, statement);
         return;
     case StatementKind::Rollback:
-        this->rollBack(id, statement);
+        this->rollBack(id);
         return;
     case StatementKind::SetValue:
         session.values.insert_or_assign(statement.name, statement.argument);
@@ -167,7 +167,7 @@
     this->answer(id, SessionState::InTransaction);
 }
 
-void SessionSystem::rollBack(SessionId id, const Statement &)
+void SessionSystem::rollBack(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
     if (session.state == SessionState::Idle) {
--- a/src/pool/sessionsystem.h
+++ b/src/pool/sessionsystem.h
@@ -34,7 +34,7 @@
     void runNext(SessionId session);
     void start(SessionId session, Statement statement);
     void begin(SessionId session, const Statement &statement);
-    void rollBack(SessionId session, const Statement &statement);
+    void rollBack(SessionId session);
     void commitWithoutServer(SessionId session);
     void startWork(SessionId session, Statement statement);
     [[nodiscard]] bool resolveRoute(SessionId session);
