Strike silent members off instead of deleting them; forget proofs when struck off or leaving

Cause: read-through: an instance whose registration another one deletes could act for the rest of its lease on proofs that no later replacement waits for; an instance that unregisters could take a late caller's write in the same way. Ruled out: waiting a lease after each removal; rolling stops remove members often. Change: silent members are marked, later replacements wait for the mark to be one lease old and then remove it; an instance forgets its proofs when it sees the mark and before it unregisters.

--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -32,12 +32,17 @@
         own == nullptr ? this->view.revision() >= this->ownRevision
                        : own->revision >= this->ownRevision && own->record.incarnation != this->desired.incarnation;
     if (this->registered && foreign) {
+        // Nobody waits for this instance any more.
         this->registered = false;
+        this->forgetEvidence();
         this->ownRevision = own == nullptr ? 0 : own->revision;
     } else if (own == nullptr && !this->registered && this->writeCall == 0) {
         this->ownRevision = 0;
     }
-    this->world.instances = static_cast<std::uint32_t>(std::max<std::size_t>(this->view.members().size(), 1));
+    const auto &members = this->view.members();
+    const auto present = std::count_if(members.begin(), members.end(),
+                                       [](const auto &entry) { return !entry.second.record.isStruckOff(); });
+    this->world.instances = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(present, 1));
 
     this->acceptEvidence(news.askedAt);
     this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->refresh(id); });
@@ -60,6 +65,12 @@
     this->evidenceAt = std::max(this->evidenceAt, askedAt);
 }
 
+void LeadershipSystem::forgetEvidence()
+{
+    this->evidenceAt = TimePoint{0};
+    this->world.services.forEach([](ServiceId, ServiceRow &service) { service.currentAt = TimePoint{0}; });
+}
+
 bool LeadershipSystem::writeFinished(const WriteOutcome &outcome)
 {
     if (outcome.call == 0 || outcome.call != this->writeCall)
@@ -110,6 +121,7 @@
         return;
     }
     this->registered = false;
+    this->forgetEvidence();
     this->writeCall = this->world.takeCall();
     this->world.emit(DeleteFleetObject{.call = this->writeCall,
                                        .name = FleetView::memberName(this->world.options.instance),
@@ -376,6 +388,8 @@
     const int ownOrder = order(self, *own);
     std::uint32_t before = 0;
     for (const auto &[instance, member] : this->view.members()) {
+        if (member.record.isStruckOff())
+            continue;
         const int other = order(instance, member);
         if (other < ownOrder || (other == ownOrder && instance < self))
             before += 1;
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -64,6 +64,8 @@
     void release(ServiceId service);
     void checkView(ServiceId service);
     void acceptEvidence(TimePoint askedAt);
+    /// What was proved so far must not be acted on any more.
+    void forgetEvidence();
     void publish();
     /// Time for which a server has answered nothing though it was asked.
     [[nodiscard]] Duration silenceOf(const ServerRow &server) const;
--- a/src/leadership/memberrecord.h
+++ b/src/leadership/memberrecord.h
@@ -15,11 +15,13 @@
 /// registered; whoever replaces a primary waits for every registered instance.
 struct MemberRecord
 {
-    std::uint64_t incarnation = 0;            ///< start of the process
+    std::uint64_t incarnation = 0;            ///< start of the process; 0: struck off by another instance
     std::uint64_t renewals = 0;               ///< rises whenever the instance comes back after its knowledge had lapsed
     std::map<std::string, PrimaryView> views; ///< by service; only while one is suspected
     std::map<std::string, std::uint64_t> released; ///< by service: epoch for which it no longer uses the old primary
 
+    /// The instance did not answer in time. It may still believe what it knew when it was struck off.
+    [[nodiscard]] bool isStruckOff() const { return this->incarnation == 0; }
     [[nodiscard]] std::string toText() const;
     [[nodiscard]] static std::optional<MemberRecord> fromText(std::string_view text);
     bool operator==(const MemberRecord &) const = default;
--- a/src/leadership/promotionsystem.cpp
+++ b/src/leadership/promotionsystem.cpp
@@ -15,6 +15,12 @@
 /// Wait for an answer to a status question.
 constexpr Duration statusTimeout = std::chrono::milliseconds(400);
 
+bool hasReleased(const FleetView::Member &member, const ServiceRow &service, std::uint64_t epoch)
+{
+    const auto released = member.record.released.find(service.name);
+    return released != member.record.released.end() && released->second >= epoch;
+}
+
 } // namespace
 
 PromotionSystem::PromotionSystem(PoolWorld &poolWorld, LinkSystem &linkSystem, LeadershipSystem &leadershipSystem,
@@ -111,7 +117,7 @@
 
 bool PromotionSystem::writeFinished(const WriteOutcome &outcome)
 {
-    if (this->deletions.erase(outcome.call) > 0)
+    if (this->strikes.erase(outcome.call) > 0)
         return true;
     for (auto &[id, replacement] : this->replacements) {
         if (replacement.call != outcome.call)
@@ -199,7 +205,7 @@
         // The members must be known at least as of the announcement.
         if (this->leadership.fleet().revision() < replacement.token || !this->allReleased(service, replacement))
             return true;
-        this->forgetSilentMembers(service, replacement);
+        this->strikeOffSilentMembers(service, replacement);
         this->enter(replacement, Step::Choose);
         return true;
     case Step::Choose:
@@ -250,24 +256,33 @@
     return std::all_of(members.begin(), members.end(), [&](const auto &entry) {
         if (entry.first == this->world.options.instance)
             return service.released;
-        const auto released = entry.second.record.released.find(service.name);
-        return released != entry.second.record.released.end() && released->second >= replacement.record.epoch;
+        // One that was struck off may act on what it knew until that lapses.
+        if (entry.second.record.isStruckOff())
+            return this->world.now - entry.second.seenAt >= lapse;
+        return hasReleased(entry.second, service, replacement.record.epoch);
     });
 }
 
-void PromotionSystem::forgetSilentMembers(const ServiceRow &service, const Replacement &replacement)
+void PromotionSystem::strikeOffSilentMembers(const ServiceRow &service, const Replacement &replacement)
 {
+    const Duration lapse = this->world.options.authorityLease + this->options.leaseMargin;
     for (const auto &[instance, member] : this->leadership.fleet().members()) {
-        const auto released = member.record.released.find(service.name);
-        const bool answered = released != member.record.released.end() && released->second >= replacement.record.epoch;
-        if (answered || instance == this->world.options.instance)
+        if (instance == this->world.options.instance || hasReleased(member, service, replacement.record.epoch))
+            continue;
+        const bool struckOff = member.record.isStruckOff();
+        if (struckOff && this->world.now - member.seenAt < lapse)
             continue;
         // An instance that lives registers anew; the revision keeps it if it has just done so.
         const std::uint64_t call = this->world.takeCall();
-        this->deletions.insert(call);
-        this->world.emit(DeleteFleetObject{
-            .call = call, .name = FleetView::memberName(instance), .expectedRevision = member.revision});
-        this->world.log(LogLevel::Warning, "member-forgotten", {{"member", instance}, {"service", service.name}});
+        this->strikes.insert(call);
+        const std::string name = FleetView::memberName(instance);
+        if (struckOff) {
+            this->world.emit(DeleteFleetObject{.call = call, .name = name, .expectedRevision = member.revision});
+            continue;
+        }
+        this->world.emit(WriteFleetObject{
+            .call = call, .name = name, .expectedRevision = member.revision, .content = MemberRecord{}.toText()});
+        this->world.log(LogLevel::Warning, "member-struck-off", {{"member", instance}, {"service", service.name}});
     }
 }
 
--- a/src/leadership/promotionsystem.h
+++ b/src/leadership/promotionsystem.h
@@ -72,7 +72,8 @@
     bool advanceOne(ServiceId service, Replacement &replacement);
     [[nodiscard]] bool isSuperseded(const ServiceRow &service, const Replacement &replacement) const;
     [[nodiscard]] bool allReleased(const ServiceRow &service, const Replacement &replacement) const;
-    void forgetSilentMembers(const ServiceRow &service, const Replacement &replacement);
+    /// Marks members that did not release, so that later replacements need not wait for them.
+    void strikeOffSilentMembers(const ServiceRow &service, const Replacement &replacement);
     void askStatus(Replacement &replacement, const std::string &server);
     bool choose(ServiceId service, Replacement &replacement);
     [[nodiscard]] bool isStalePrimary(const Replacement &replacement, const std::string &server) const;
@@ -88,7 +89,7 @@
     LeadershipSystem &leadership;
     LeadershipOptions options;
     std::map<ServiceId, Replacement> replacements;
-    std::set<std::uint64_t> deletions; ///< calls that remove members which have lapsed
+    std::set<std::uint64_t> strikes; ///< calls that strike members off
 };
 
 } // namespace Jujubekeel
--- a/tests/pool/poolfleettest.cpp
+++ b/tests/pool/poolfleettest.cpp
@@ -252,6 +252,28 @@
     }
 }
 
+// Guards against an instance that was struck off acting on what it had proved before.
+TEST(PoolFleet, StruckOffInstanceForgetsItsProofs)
+{
+    VirtualPool pool({});
+    pool.run(seconds(2));
+    const auto members = pool.store().list("member.i0").objects;
+    ASSERT_EQ(members.size(), 1U);
+    static_cast<void>(pool.store().write(
+        {.name = members[0].name, .expectedRevision = members[0].revision, .content = MemberRecord{}.toText()}));
+    bool forgot = false;
+    for (int step = 0; step < 50; ++step) {
+        pool.run(std::chrono::microseconds(200));
+        pool.core(0)->state().services.forEach(
+            [&](ServiceId, const ServiceRow &service) { forgot = forgot || service.currentAt.count() == 0; });
+    }
+    EXPECT_TRUE(forgot);
+    pool.run(seconds(2));
+    const auto again = MemberRecord::fromText(pool.store().list("member.i0").objects.at(0).content);
+    ASSERT_TRUE(again.has_value());
+    EXPECT_FALSE(again->isStruckOff());
+}
+
 // Guards against a replacement without an end when its holder has died.
 TEST(PoolFleet, ReplacementIsTakenOverFromADeadHolder)
 {
