--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -419,6 +419,7 @@
                             : database == ownRoute   ? ReadConsistency::ReadYourWrites
                                                      : ReadConsistency::Primary;
         route.maxStaleness = database == boundedRoute ? Duration(1500000) : Duration(2500000);
+        route.statementTimeout = std::chrono::seconds(database == boundedRoute ? 2 : 1);
         route.priority = database == primaryRoute ? 1 : 2;
         routes->addRoute(std::move(route));
     }
--- a/tests/pool/poolfleettest.cpp
+++ b/tests/pool/poolfleettest.cpp
@@ -325,19 +325,23 @@
         return caller;
     };
     pool.requestStop(0);
-    for (int step = 0; step < 21; ++step) {
+    for (int step = 0; step < 10; ++step) {
         readThrough("s" + std::to_string(step));
-        pool.run(milliseconds(200));
+        pool.run(milliseconds(420));
     }
-    const auto late = readThrough("late");
+    // A write that is sent so late that its own time-out comes after the end of the stop.
+    pool.run(milliseconds(80));
+    const auto late = pool.openCaller(0, VirtualPool::boundedRoute);
     ASSERT_TRUE(late.has_value());
-    pool.run(milliseconds(60));
+    pool.send(*late, Statement{.kind = StatementKind::Write, .id = "late", .text = "WRITE 1 x"});
+    pool.run(milliseconds(15));
     for (std::size_t server = 0; server < 3; ++server)
         pool.cutInstanceFromServer(0, server, true);
     pool.run(milliseconds(1300));
     EXPECT_EQ(pool.core(0), nullptr);
     ASSERT_EQ(pool.caller(*late).replies.size(), 1U);
-    EXPECT_TRUE(pool.caller(*late).replies.front().error.has_value());
+    ASSERT_TRUE(pool.caller(*late).replies.front().error.has_value());
+    EXPECT_EQ(pool.caller(*late).replies.front().error->code, OutcomeCode::InDoubt);
 }
 
 // Guards against service that does not come back after all instances were killed at once.
