Join what the change wrote twice, and drop state that nothing reads

Cause: read-through of the whole change. Removed: LinkRow::closing and idleSince, SessionRow::leaving and lastActiveAt, ServerRow::listed (a removed server is in no list of candidates any more), warmupLeft, ExchangeKind::Order, others. New test: DroppedHistoryIsListedAnew; docs/fakes.md said that a dropped history was played, and nothing played it. Ruled out: PlatformClient's lanes on top of CallQueue; the larger twin, noted. Conclusion: behaviour of the statement path unchanged.

--- a/src/catalog/serverentry.h
+++ b/src/catalog/serverentry.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "core/time.h"
-
 #include <cstdint>
 #include <string>
 
@@ -18,7 +16,6 @@
     bool draining = false;
     bool claimsPrimary = false;    ///< the server's own view; the authority record goes before it
     std::uint64_t incarnation = 0; ///< start of the process; differs after a restart under the same id
-    Duration warmupLeft{0};        ///< the server is slow for this much longer
 };
 
 } // namespace Jujubekeel
--- a/src/leadership/promotionsystem.cpp
+++ b/src/leadership/promotionsystem.cpp
@@ -246,10 +246,15 @@
     return true;
 }
 
+Duration PromotionSystem::lapseTime() const
+{
+    return this->world.options.authorityLease + this->options.leaseMargin;
+}
+
 bool PromotionSystem::allReleased(const ServiceRow &service, const Replacement &replacement) const
 {
     // An instance whose knowledge has lapsed accepts nothing of the old primary any more.
-    const Duration lapse = this->world.options.authorityLease + this->options.leaseMargin;
+    const Duration lapse = this->lapseTime();
     if (this->world.now - replacement.announcedAt >= lapse)
         return true;
     const auto &members = this->leadership.fleet().members();
@@ -265,7 +270,7 @@
 
 void PromotionSystem::strikeOffSilentMembers(const ServiceRow &service, const Replacement &replacement)
 {
-    const Duration lapse = this->world.options.authorityLease + this->options.leaseMargin;
+    const Duration lapse = this->lapseTime();
     for (const auto &[instance, member] : this->leadership.fleet().members()) {
         if (instance == this->world.options.instance || hasReleased(member, service, replacement.record.epoch))
             continue;
--- a/src/leadership/promotionsystem.h
+++ b/src/leadership/promotionsystem.h
@@ -57,9 +57,8 @@
         std::uint64_t call = 0;             ///< write or promotion under way; 0: none
         TimePoint startedAt{0};
         TimePoint announcedAt{0};
-        TimePoint stepAt{0};  ///< start of the present step
-        TimePoint retryAt{0}; ///< no call before
-        bool oldPrimaryAnswers = false;
+        TimePoint stepAt{0};                               ///< start of the present step
+        TimePoint retryAt{0};                              ///< no call before
         std::set<std::string> refused;                     ///< candidates that cannot take over
         std::map<std::string, ReplicationStatus> statuses; ///< by server
         std::map<std::string, TimePoint> askedAt;          ///< by server; removed with the answer
@@ -71,6 +70,8 @@
     /// Returns false if the replacement is over.
     bool advanceOne(ServiceId service, Replacement &replacement);
     [[nodiscard]] bool isSuperseded(const ServiceRow &service, const Replacement &replacement) const;
+    /// After this an instance accepts nothing any more on what it knew.
+    [[nodiscard]] Duration lapseTime() const;
     [[nodiscard]] bool allReleased(const ServiceRow &service, const Replacement &replacement) const;
     /// Marks members that did not release, so that later replacements need not wait for them.
     void strikeOffSilentMembers(const ServiceRow &service, const Replacement &replacement);
--- a/src/net/streamconnection.cpp
+++ b/src/net/streamconnection.cpp
@@ -1,16 +1,27 @@
 #include "net/streamconnection.h"
 
 #include <asio/buffer.hpp>
+#include <asio/ip/address.hpp>
 #include <asio/write.hpp>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <stdexcept>
 #include <utility>
 
 namespace Jujubekeel {
 
+asio::ip::tcp::endpoint toEndpoint(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+        throw std::runtime_error("address without a port: " + address);
+    return {asio::ip::make_address(address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+}
+
 StreamConnection::StreamConnection(asio::ip::tcp::socket tcpSocket, StreamConnectionOptions connectionOptions)
     : socket(std::move(tcpSocket)), closeTimer(this->socket.get_executor()), options(connectionOptions)
 {
--- a/src/net/streamconnection.h
+++ b/src/net/streamconnection.h
@@ -15,6 +15,9 @@
 
 namespace Jujubekeel {
 
+/// Reads "ip:port"; throws std::exception if it is none.
+[[nodiscard]] asio::ip::tcp::endpoint toEndpoint(const std::string &address);
+
 enum class StreamEnd : std::uint8_t {
     Refused, ///< nothing listens at the address
     Broken,  ///< reset, or closed by the other side
--- a/src/pool/directorysystem.cpp
+++ b/src/pool/directorysystem.cpp
@@ -146,7 +146,6 @@
 void DirectorySystem::remove(ServerId id, std::string_view reason)
 {
     ServerRow &row = this->world.servers.at(id);
-    row.listed = false;
     this->world.log(LogLevel::Info, "server-removed",
                     {{"server", row.entry.id}, {"service", row.entry.service}, {"reason", std::string(reason)}});
     this->world.serverById.erase(row.entry.id);
--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -255,7 +255,6 @@
     if (link.user.isValid())
         this->world.servers.at(link.server).running -= 1;
     link.user = SessionId{};
-    link.idleSince = this->world.now;
 }
 
 void DispatchSystem::releaseLink(LinkId linkId)
@@ -276,13 +275,11 @@
     // Work is taken off the list first: an attempt may put it back.
     std::vector<SessionId> waiting;
     waiting.swap(this->world.services.at(serviceId).queue);
-    for (std::size_t index = 0; index < waiting.size(); ++index) {
-        const SessionId id = waiting[index];
-        if (!this->trySend(id)) {
+    for (const SessionId id : waiting) {
+        if (this->trySend(id))
+            this->world.sessions.at(id).work->queued = false;
+        else
             this->world.services.at(serviceId).queue.push_back(id);
-            continue;
-        }
-        this->world.sessions.at(id).work->queued = false;
     }
 }
 
--- a/src/pool/linkrow.h
+++ b/src/pool/linkrow.h
@@ -22,7 +22,6 @@
     Rollback,
     Position, ///< asks for the log position of an idle primary
     Status,
-    Order, ///< PauseReplication, ResumeReplication, StepDown
 };
 
 /// One question on a link that waits for its answer.
@@ -33,7 +32,7 @@
     std::vector<std::string> rows;
     std::size_t bytes = 0;
     std::string digest;
-    std::optional<ReplicationStatus> status; ///< Status and Order
+    std::optional<ReplicationStatus> status; ///< Status
     bool done = false;
     std::optional<OutcomeError> error;
 };
@@ -45,20 +44,15 @@
     bool connected = false; ///< the server's machine has accepted the connection
     bool open = false;      ///< greeted
     TimePoint openedAt{0};  ///< start of the connect
-    bool closing = false;   ///< takes no new work
     SessionId user;         ///< session whose statement or transaction occupies the link
     bool inTransaction = false;
     std::uint64_t leadership = 0; ///< leadership of the service under which the present work was sent
     std::deque<Exchange> exchanges;
-    TimePoint deadline{0}; ///< for the oldest exchange; 0: none
-    TimePoint idleSince{0};
+    TimePoint deadline{0};                                  ///< for the oldest exchange; 0: none
     std::map<std::string, std::string, std::less<>> values; ///< session values in force on the connection
     std::set<std::string, std::less<>> prepared;            ///< names of the pool's own prepared statements
 
-    [[nodiscard]] bool isFree() const
-    {
-        return this->open && !this->closing && !this->user.isValid() && this->exchanges.empty();
-    }
+    [[nodiscard]] bool isFree() const { return this->open && !this->user.isValid() && this->exchanges.empty(); }
 };
 
 } // namespace Jujubekeel
--- a/src/pool/linksystem.cpp
+++ b/src/pool/linksystem.cpp
@@ -58,7 +58,7 @@
     ServerRow &row = this->world.servers.at(server);
     if (row.opening > 0)
         return true;
-    if (!row.listed || this->world.now < row.retryAt)
+    if (this->world.now < row.retryAt)
         return false;
     // Orders may use one of the connections that work leaves free.
     const std::uint32_t extra = purpose == LinkPurpose::Order ? 1 : 0;
@@ -107,7 +107,7 @@
     case ServerMessageKind::Row:
         exchange.bytes += message.text.size();
         broken = exchange.bytes > this->world.options.resultLimit;
-        if (exchange.kind == ExchangeKind::Status || exchange.kind == ExchangeKind::Order)
+        if (exchange.kind == ExchangeKind::Status)
             exchange.status = message.status;
         else
             exchange.rows.push_back(std::move(message.text));
@@ -133,10 +133,8 @@
     if (message.position)
         server.applied = std::max(server.applied, *message.position);
     this->restartSilence(row.server);
-    if (row.exchanges.empty()) {
+    if (row.exchanges.empty())
         row.deadline = TimePoint{0};
-        row.idleSince = this->world.now;
-    }
     return completed;
 }
 
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -33,7 +33,7 @@
 {
     this->world.now = now;
     this->world.counters.add("jujubekeel_pool_sessions_total");
-    return this->world.sessions.insert(SessionRow{.lastActiveAt = now});
+    return this->world.sessions.insert(SessionRow{});
 }
 
 void PoolCore::callerOpens(TimePoint now, SessionId session, const std::string &database)
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -228,8 +228,6 @@
         } else {
             this->dispatch.releaseLink(linkId);
         }
-    } else if (session.transaction) {
-        session.transaction->lastActiveAt = this->world.now;
     }
 
     // Only a primary that still led when it answered may be believed.
--- a/src/pool/serverchooser.cpp
+++ b/src/pool/serverchooser.cpp
@@ -35,8 +35,6 @@
 bool ServerChooser::takesNewWork(ServerId server) const
 {
     const ServerRow &row = this->world.servers.at(server);
-    if (!row.listed)
-        return false;
     return !row.entry.draining || this->world.now - row.drainingSince < this->world.options.drainWork;
 }
 
--- a/src/pool/serverrow.h
+++ b/src/pool/serverrow.h
@@ -16,7 +16,6 @@
 {
     ServerEntry entry;
     ServiceId service;
-    bool listed = true;         ///< false while the row is being removed
     TimePoint missingSince{0};  ///< the entry is away, the server may live; 0: it is there
     TimePoint drainingSince{0}; ///< 0: not draining
 
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -69,8 +69,6 @@
 
     LogPosition mark;                 ///< newest commit of the session
     std::uint64_t markLeadership = 0; ///< leadership under which it was made; 0: no commit yet
-    bool leaving = false;             ///< the caller has said that it ends the session
-    TimePoint lastActiveAt{0};
 };
 
 } // namespace Jujubekeel
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -52,7 +52,6 @@
 {
     SessionRow &session = this->world.sessions.at(id);
     session.database = database;
-    session.lastActiveAt = this->world.now;
     if (!this->world.routes) {
         this->world.emit(
             RefuseCaller{.session = id, .error = {.code = OutcomeCode::Busy, .text = "no configuration received yet"}});
@@ -74,7 +73,6 @@
 void SessionSystem::run(SessionId id, Statement statement)
 {
     SessionRow &session = this->world.sessions.at(id);
-    session.lastActiveAt = this->world.now;
     if (session.work || !session.backlog.empty()) {
         if (session.backlog.size() >= this->world.options.backlogLimit) {
             this->end(id);
@@ -167,28 +165,28 @@
     this->answer(id, SessionState::InTransaction);
 }
 
-void SessionSystem::rollBack(SessionId id)
+bool SessionSystem::endTransaction(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
     if (session.state == SessionState::Idle) {
         this->refuse(id, OutcomeCode::Malformed, "no transaction is open", SessionState::Idle);
-        return;
+        return false;
     }
     this->dispatch.rollBack(id);
     session.transaction.reset();
-    this->answer(id, SessionState::Idle);
+    return true;
+}
+
+void SessionSystem::rollBack(SessionId id)
+{
+    if (this->endTransaction(id))
+        this->answer(id, SessionState::Idle);
 }
 
 void SessionSystem::commitWithoutServer(SessionId id)
 {
-    SessionRow &session = this->world.sessions.at(id);
-    if (session.state == SessionState::Idle) {
-        this->refuse(id, OutcomeCode::Malformed, "no transaction is open", SessionState::Idle);
-        return;
-    }
-    this->dispatch.rollBack(id);
-    session.transaction.reset();
-    this->refuse(id, OutcomeCode::Aborted, "the transaction had failed and is rolled back", SessionState::Idle);
+    if (this->endTransaction(id))
+        this->refuse(id, OutcomeCode::Aborted, "the transaction had failed and is rolled back", SessionState::Idle);
 }
 
 bool SessionSystem::resolveRoute(SessionId id)
@@ -268,7 +266,6 @@
     const bool commit = work.statement.kind == StatementKind::Commit;
     session.work.reset();
     session.state = reply.state;
-    session.lastActiveAt = this->world.now;
     if (commit || session.state == SessionState::Idle)
         session.transaction.reset();
     if (session.transaction && session.transaction->link.isValid()) {
--- a/src/pool/sessionsystem.h
+++ b/src/pool/sessionsystem.h
@@ -34,6 +34,8 @@
     void runNext(SessionId session);
     void start(SessionId session, Statement statement);
     void begin(SessionId session, const Statement &statement);
+    /// Rolls back the server's side; refuses and returns false if no transaction is open.
+    bool endTransaction(SessionId session);
     void rollBack(SessionId session);
     void commitWithoutServer(SessionId session);
     void startWork(SessionId session, Statement statement);
--- a/src/programs/fake-statement-platform/servercodec.cpp
+++ b/src/programs/fake-statement-platform/servercodec.cpp
@@ -1,38 +1,17 @@
 #include "programs/fake-statement-platform/servercodec.h"
 
 #include "linecodec.h"
-
-#include <cstdlib>
+#include "linewords.h"
 
 namespace Jujubekeel {
 
 namespace {
 
-std::string takeWord(std::string_view &rest)
-{
-    const std::size_t blank = rest.find(' ');
-    std::string word(rest.substr(0, blank));
-    rest = blank == std::string_view::npos ? std::string_view{} : rest.substr(blank + 1);
-    return word;
-}
-
-LogPosition toPosition(const std::string &text)
-{
-    char *end = nullptr;
-    const std::uint64_t term = std::strtoull(text.c_str(), &end, 10);
-    return LogPosition{.term = term, .position = *end == '.' ? std::strtoull(end + 1, nullptr, 10) : 0};
-}
-
-std::string toText(LogPosition position)
-{
-    return std::to_string(position.term) + "." + std::to_string(position.position);
-}
-
 /// Statements that are more than text to a backend server.
 void decodeText(std::string_view text, ServerCommand &command)
 {
     std::string_view rest = text;
-    const std::string verb = takeWord(rest);
+    const std::string_view verb = takeWord(rest);
     command.kind = CommandKind::Forward;
     command.argument = std::string(text);
     if (verb == "BEGIN") {
@@ -47,7 +26,7 @@
         command.kind = CommandKind::ResumeReplication;
     } else if (verb == "PAUSE" || verb == "STEPDOWN") {
         command.kind = verb == "PAUSE" ? CommandKind::PauseReplication : CommandKind::StepDown;
-        command.term = std::strtoull(std::string(rest).c_str(), nullptr, 10);
+        command.term = toNumber(rest).value_or(0);
     } else if (verb == "SET" || verb == "EXECUTE") {
         command.kind = verb == "SET" ? CommandKind::SetValue : CommandKind::Execute;
         command.name = takeWord(rest);
@@ -64,12 +43,12 @@
 std::optional<ServerCommand> decodeCommand(std::string_view line)
 {
     std::string_view rest = line;
-    const std::string verb = takeWord(rest);
+    const std::string_view verb = takeWord(rest);
     ServerCommand command;
     if (verb == "CONNECT") {
         command.kind = CommandKind::Open;
         command.name = takeWord(rest);
-        takeWord(rest);
+        static_cast<void>(takeWord(rest));
         command.argument = std::string(rest);
         return command;
     }
@@ -81,7 +60,7 @@
         return std::nullopt;
     command.id = takeWord(rest);
     if (rest.starts_with("AFTER ")) {
-        takeWord(rest);
+        static_cast<void>(takeWord(rest));
         command.after = toPosition(takeWord(rest));
     }
     decodeText(rest, command);
@@ -108,7 +87,7 @@
     const char letter = message.state == SessionState::Idle            ? 'I'
                         : message.state == SessionState::InTransaction ? 'T'
                                                                        : 'E';
-    return std::string("READY ") + letter + " " + (message.position ? toText(*message.position) : "-") + "\r\n";
+    return std::string("READY ") + letter + " " + toText(message.position) + "\r\n";
 }
 
 } // namespace Jujubekeel
--- a/src/programs/fake-statement-platform/statementservers.cpp
+++ b/src/programs/fake-statement-platform/statementservers.cpp
@@ -24,9 +24,7 @@
                   .dropped = [this](std::uint64_t connection) { this->drop(connection); }})
 {
     for (const std::string &address : addresses) {
-        const std::size_t colon = address.rfind(':');
-        const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)),
-                                               static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
+        const asio::ip::tcp::endpoint endpoint = toEndpoint(address);
         asio::ip::tcp::acceptor &acceptor = this->acceptors.emplace_back(this->loop, endpoint);
         this->boundAddresses.push_back(endpoint.address().to_string() + ":"
                                        + std::to_string(acceptor.local_endpoint().port()));
--- a/src/programs/jujubekeel-poolbench/failovertable.cpp
+++ b/src/programs/jujubekeel-poolbench/failovertable.cpp
@@ -87,22 +87,14 @@
     trouble.apply(pool);
     pool.run(runTime);
 
-    // Time between acknowledged writes from the trouble to the end of the load.
-    RunFigures figures{.replacements = pool.promotions()};
-    std::vector<TimePoint> times{start + untilTrouble, start + loadTime};
+    RunFigures figures{.gap = workload.longestWriteGap(start + untilTrouble, start + loadTime),
+                       .replacements = pool.promotions()};
     std::size_t writes = 0;
     std::size_t acknowledged = 0;
     for (const PoolOperation &operation : workload.operations()) {
-        if (operation.writes.empty())
-            continue;
-        writes += 1;
+        writes += operation.writes.empty() ? 0 : 1;
         acknowledged += operation.acknowledged ? 1 : 0;
-        if (operation.acknowledged && operation.endedAt > start + untilTrouble)
-            times.push_back(operation.endedAt);
     }
-    std::sort(times.begin(), times.end());
-    for (std::size_t index = 1; index < times.size(); ++index)
-        figures.gap = std::max(figures.gap, times[index] - times[index - 1]);
     figures.unserved = writes == 0 ? 0 : 1.0 - static_cast<double>(acknowledged) / static_cast<double>(writes);
     const double span = std::chrono::duration<double>(untilTrouble + runTime).count();
     figures.storeCalls = static_cast<double>(pool.store().calls - callsBefore) / span;
--- a/src/virtualpool/poolworkload.cpp
+++ b/src/virtualpool/poolworkload.cpp
@@ -223,4 +223,18 @@
                                                   [](const auto &entry) { return !entry.answered && !entry.error; }));
 }
 
+Duration PoolWorkload::longestWriteGap(TimePoint from, TimePoint to) const
+{
+    std::vector<TimePoint> times{from, to};
+    for (const PoolOperation &operation : this->finished) {
+        if (operation.acknowledged && operation.endedAt > from)
+            times.push_back(operation.endedAt);
+    }
+    std::sort(times.begin(), times.end());
+    Duration gap{0};
+    for (std::size_t index = 1; index < times.size(); ++index)
+        gap = std::max(gap, times[index] - times[index - 1]);
+    return gap;
+}
+
 } // namespace Jujubekeel
--- a/src/virtualpool/poolworkload.h
+++ b/src/virtualpool/poolworkload.h
@@ -50,6 +50,8 @@
 
     [[nodiscard]] const std::vector<PoolOperation> &operations() const { return this->finished; }
     [[nodiscard]] std::size_t unanswered() const;
+    /// Longest time without an acknowledged write between two moments.
+    [[nodiscard]] Duration longestWriteGap(TimePoint from, TimePoint to) const;
     /// Results that carried another session's values or an answer without the server's digest.
     [[nodiscard]] const std::vector<std::string> &mixedAnswers() const { return this->mixed; }
 
--- a/src/virtualpool/statementgroup.cpp
+++ b/src/virtualpool/statementgroup.cpp
@@ -174,7 +174,6 @@
         const auto found = this->connections.find(connection);
         if (found == this->connections.end())
             return;
-        found->second.open = true;
         this->callbacks.deliver(connection,
                                 ServerMessage{.kind = ServerMessageKind::Ready, .position = this->applied(server)});
         found->second.commands.pop_front();
--- a/src/virtualpool/statementgroup.h
+++ b/src/virtualpool/statementgroup.h
@@ -115,7 +115,6 @@
     struct Connection
     {
         std::size_t server = 0;
-        bool open = false;
         SessionState state = SessionState::Idle;
         bool readOnly = false;
         std::vector<std::string> writes; ///< of the open transaction
--- a/tests/pool/poolfleettest.cpp
+++ b/tests/pool/poolfleettest.cpp
@@ -38,20 +38,7 @@
             std::count_if(all.begin(), all.end(), [](const PoolOperation &entry) { return entry.answered; }));
     }
     /// Longest time without an acknowledged write, from \a from to the end of the load.
-    [[nodiscard]] Duration writeGap(TimePoint from) const
-    {
-        Duration gap{0};
-        std::vector<TimePoint> times{from};
-        for (const PoolOperation &operation : this->workload.operations()) {
-            if (operation.acknowledged && operation.endedAt > from)
-                times.push_back(operation.endedAt);
-        }
-        times.push_back(this->end);
-        std::sort(times.begin(), times.end());
-        for (std::size_t index = 1; index < times.size(); ++index)
-            gap = std::max(gap, times[index] - times[index - 1]);
-        return gap;
-    }
+    [[nodiscard]] Duration writeGap(TimePoint from) const { return this->workload.longestWriteGap(from, this->end); }
 
     VirtualPool pool;
     PoolWorkload workload;
@@ -274,6 +261,28 @@
     EXPECT_FALSE(again->isStruckOff());
 }
 
+// Guards against an instance that keeps an old primary because the store has dropped the history of its replacement.
+TEST(PoolFleet, DroppedHistoryIsListedAnew)
+{
+    VirtualPool pool({});
+    pool.run(seconds(2));
+    pool.setStoreReachable(0, false);
+    pool.run(seconds(3));
+    pool.stopServer(0);
+    pool.run(seconds(9));
+    pool.store().compact();
+    pool.setStoreReachable(0, true);
+    pool.run(seconds(4));
+    const auto primaryAt = [&pool](std::size_t instance) {
+        std::string id;
+        pool.core(instance)->state().services.forEach(
+            [&](ServiceId, const ServiceRow &service) { id = service.primaryId; });
+        return id;
+    };
+    EXPECT_NE(primaryAt(1), "records-0");
+    EXPECT_EQ(primaryAt(0), primaryAt(1));
+}
+
 // Guards against a replacement without an end when its holder has died.
 TEST(PoolFleet, ReplacementIsTakenOverFromADeadHolder)
 {
