--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -7,7 +7,7 @@
 work=$(mktemp -d)
 # shellcheck source=tools/lib/fleet.sh
 . "$source/tools/lib/fleet.sh"
-trap stop_fleet EXIT
+trap report_and_stop EXIT
 
 user=association
 database=stall-records-1
--- a/tests/process/statements.sh
+++ b/tests/process/statements.sh
@@ -9,7 +9,7 @@
 . "$source/tools/lib/fleet.sh"
 # shellcheck source=tools/lib/statements.sh
 . "$source/tools/lib/statements.sh"
-trap stop_fleet EXIT
+trap report_and_stop EXIT
 
 step="start"
 start_statement_platform
--- a/tools/lib/fleet.sh
+++ b/tools/lib/fleet.sh
@@ -24,6 +24,19 @@
     [ -z "${work:-}" ] || rm -rf "$work"
 }
 
+# report_and_stop: for `trap ... EXIT` of tests: shows how each process ended if the test failed, then ends them all.
+report_and_stop() {
+    local status=$? name
+    if [ $status -ne 0 ]; then
+        for name in "${!fleet_pid_of[@]}"; do
+            kill -0 "${fleet_pid_of[$name]}" 2>/dev/null || echo "$name (process ${fleet_pid_of[$name]}) has ended:" >&2
+            tail -n 4 "$work/$name.log" 2>/dev/null | cut -c1-400 >&2 || true
+        done
+    fi
+    stop_fleet
+    exit $status
+}
+
 # start_process NAME COMMAND...: starts a process in the background with its output in a log file.
 start_process() {
     local name=$1
