--- a/src/catalog/routetable.cpp
+++ b/src/catalog/routetable.cpp
@@ -1,5 +1,6 @@
 #include "catalog/routetable.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Jujubekeel {
@@ -28,6 +29,14 @@
     return found == this->services.end() ? ServiceLimits{}.maxConnections : found->second.maxConnections;
 }
 
+std::optional<std::uint32_t> RouteTable::smallestConnectionLimit() const
+{
+    std::optional<std::uint32_t> least;
+    for (const auto &[name, limits] : this->services)
+        least = std::min(least.value_or(limits.maxConnections), limits.maxConnections);
+    return least;
+}
+
 bool RouteTable::hasService(std::string_view service) const
 {
     return this->services.contains(service);
--- a/src/catalog/routetable.h
+++ b/src/catalog/routetable.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,8 @@
     /// The route of a database, or null if the configuration has none.
     [[nodiscard]] std::shared_ptr<const Route> find(std::string_view database) const;
     [[nodiscard]] std::uint32_t maxConnections(std::string_view service) const;
+    /// Of all services; empty if there is none.
+    [[nodiscard]] std::optional<std::uint32_t> smallestConnectionLimit() const;
     [[nodiscard]] bool hasService(std::string_view service) const;
     [[nodiscard]] std::uint64_t version() const { return this->tableVersion; }
     [[nodiscard]] std::size_t size() const { return this->routes.size(); }
--- a/src/leadership/leadershipoptions.h
+++ b/src/leadership/leadershipoptions.h
@@ -20,12 +20,14 @@
     Duration plannedPatience = std::chrono::milliseconds(1000); ///< work under way at a primary that leaves may end
     Duration takeOverAfter =
         std::chrono::milliseconds(7500); ///< a replacement without an end is taken over; above the lease
-    Duration leaseMargin = std::chrono::milliseconds(100);     ///< added when a lapse is waited for
-    Duration statusWait = std::chrono::milliseconds(350);      ///< for the positions of the candidates
-    Duration catchUpWait = std::chrono::milliseconds(1500);    ///< a candidate receives what a living primary has
-    Duration stepInterval = std::chrono::milliseconds(25);     ///< between two looks at a replacement
-    Duration callRetry = std::chrono::milliseconds(200);       ///< pause before a call without answer is repeated
-    Duration leadWait = std::chrono::milliseconds(4000);       ///< a named candidate must lead by then
+    Duration leaseMargin = std::chrono::milliseconds(100);  ///< added when a lapse is waited for
+    Duration statusWait = std::chrono::milliseconds(350);   ///< for the positions of the candidates
+    Duration catchUpWait = std::chrono::milliseconds(1500); ///< a candidate receives what a living primary has
+    Duration stepInterval = std::chrono::milliseconds(25);  ///< between two looks at a replacement
+    Duration callRetry = std::chrono::milliseconds(200);    ///< pause before a call without answer is repeated
+    Duration leadWait = std::chrono::milliseconds(4000);    ///< a named candidate must lead by then
+    std::uint32_t vacancyTurns = 16; ///< instances that see room for another member register one after the other
+    Duration vacancyStep = std::chrono::milliseconds(40);      ///< between two of them; news travels in that time
     Duration knowledgeLimit = std::chrono::milliseconds(2500); ///< age of the record up to which a call may be sent
 };
 
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -5,6 +5,7 @@
 #include "pool/resultsystem.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -19,7 +20,11 @@
 void LeadershipSystem::start(std::uint64_t incarnation)
 {
     this->desired.incarnation = incarnation;
-    this->world.timers.add(this->world.now + this->options.checkInterval, TimerKind::Leadership);
+    this->desired.relayAddress = this->world.options.relayAddress;
+    this->desired.failureDomain = this->world.options.failureDomain;
+    if (this->world.options.relayAddress.empty())
+        this->world.part = FleetPart::Member;
+    this->armCheck();
 }
 
 void LeadershipSystem::newsReceived(const FleetNews &news)
@@ -84,6 +89,7 @@
         this->ownRevision = outcome.revision;
         if (!this->registered) {
             this->registered = true;
+            this->setPart(FleetPart::Member);
             this->registeredAt = this->world.now;
             this->world.log(
                 LogLevel::Info, "registered",
@@ -103,6 +109,11 @@
         return;
     if (this->world.now < this->writeAgainAt || (this->registered && this->desired == this->written))
         return;
+    if (!this->registered && !this->mayRegister()) {
+        if (this->hasOtherMembers())
+            this->setPart(FleetPart::Relaying);
+        return;
+    }
     this->written = this->desired;
     this->writeCall = this->world.takeCall();
     this->world.emit(WriteFleetObject{.call = this->writeCall,
@@ -111,6 +122,68 @@
                                       .content = this->written.toText()});
 }
 
+bool LeadershipSystem::mayRegister()
+{
+    const PoolOptions &pool = this->world.options;
+    if (pool.relayAddress.empty() || this->view.member(pool.instance) != nullptr)
+        return true;
+
+    // Each failure domain has its share of the members, so that one that is cut off can serve what it can.
+    const auto limit = this->world.routes ? this->world.routes->smallestConnectionLimit() : std::nullopt;
+    if (!limit)
+        return false;
+    const std::uint32_t shared = *limit > pool.spareConnections ? *limit - pool.spareConnections : 1;
+    const std::uint32_t room = std::clamp(shared / pool.linksPerServer, pool.membersLeast, pool.membersMost);
+    const auto domains = static_cast<std::uint32_t>(std::max<std::size_t>(pool.regionOf.size(), 1));
+    const auto &members = this->view.members();
+    const auto present = std::count_if(members.begin(), members.end(), [&](const auto &entry) {
+        const MemberRecord &record = entry.second.record;
+        return !record.isStruckOff() && !record.leaving && record.failureDomain == pool.failureDomain;
+    });
+    if (static_cast<std::uint32_t>(present) >= std::max<std::uint32_t>(room / domains, 1)) {
+        this->vacancySince = TimePoint{0};
+        return false;
+    }
+    // Instances that see the same vacancy take their turn, so that the first one is known to the others.
+    if (this->vacancySince.count() == 0)
+        this->vacancySince = this->world.now;
+    const std::size_t turn = std::hash<std::string>{}(pool.instance) % this->options.vacancyTurns;
+    const TimePoint due = this->vacancySince + this->options.vacancyStep * static_cast<std::int64_t>(turn);
+    if (this->world.now >= due)
+        return true;
+    this->world.timers.add(due, TimerKind::Vacancy);
+    return false;
+}
+
+void LeadershipSystem::setPart(FleetPart part)
+{
+    this->world.part = part;
+    if (part == FleetPart::Member && this->nextCheck <= this->world.now)
+        this->armCheck();
+}
+
+void LeadershipSystem::armCheck()
+{
+    this->nextCheck = this->world.now + this->options.checkInterval;
+    this->world.timers.add(this->nextCheck, TimerKind::Leadership);
+}
+
+bool LeadershipSystem::hasOtherMembers() const
+{
+    const auto &members = this->view.members();
+    return std::any_of(members.begin(), members.end(), [this](const auto &entry) {
+        const MemberRecord &record = entry.second.record;
+        return entry.first != this->world.options.instance && !record.isStruckOff() && !record.relayAddress.empty();
+    });
+}
+
+void LeadershipSystem::announceLeave()
+{
+    this->desired.leaving = true;
+    if (this->registered)
+        this->publish();
+}
+
 void LeadershipSystem::unregister()
 {
     if (this->unregistering)
@@ -193,7 +266,7 @@
     const bool known = service.epoch == record.epoch && !service.changing && service.primaryId == record.primary;
     if (service.epoch > record.epoch || known)
         return;
-    this->setPrimary(id, record.primary, record.epoch);
+    this->setPrimary(id, record.primary, record.epoch, record.term);
 }
 
 void LeadershipSystem::adoptCandidate(ServiceId id)
@@ -210,7 +283,7 @@
         std::find(service.candidates.begin(), service.candidates.end(), candidate) != service.candidates.end();
     if (wasReplica && server != this->world.serverById.end()
         && this->world.servers.at(server->second).entry.claimsPrimary)
-        this->setPrimary(id, std::string(candidate), service.epoch);
+        this->setPrimary(id, std::string(candidate), service.epoch, known->record.termAbove + 1);
 }
 
 void LeadershipSystem::adoptClaim(ServiceId id)
@@ -222,13 +295,13 @@
     for (const ServerId server : service.servers) {
         const ServerEntry &entry = this->world.servers.at(server).entry;
         if (entry.claimsPrimary) {
-            this->setPrimary(id, entry.id, 0);
+            this->setPrimary(id, entry.id, 0, 0);
             return;
         }
     }
 }
 
-void LeadershipSystem::setPrimary(ServiceId id, const std::string &server, std::uint64_t epoch)
+void LeadershipSystem::setPrimary(ServiceId id, const std::string &server, std::uint64_t epoch, std::uint64_t term)
 {
     ServiceRow &service = this->world.services.at(id);
     this->world.log(LogLevel::Info, "primary-known",
@@ -240,6 +313,7 @@
         this->release(id);
     service.primaryId = server;
     service.epoch = epoch;
+    service.term = term;
     service.leadership += 1;
     service.changing = false;
     service.released = false;
@@ -284,7 +358,12 @@
 
 void LeadershipSystem::check()
 {
-    this->world.timers.add(this->world.now + this->options.checkInterval, TimerKind::Leadership);
+    if (this->world.now < this->nextCheck)
+        return;
+    // Members watch the primaries for all.
+    if (this->world.isRelaying())
+        return;
+    this->armCheck();
     std::vector<ServiceId> all;
     this->world.services.forEach([&](ServiceId id, ServiceRow &) { all.push_back(id); });
     for (const ServiceId id : all) {
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -15,6 +15,7 @@
 class DispatchSystem;
 class ResultSystem;
 struct PoolWorld;
+enum class FleetPart : std::uint8_t;
 struct ServerRow;
 struct ServiceRow;
 
@@ -38,6 +39,10 @@
     void serversChanged();
     /// Looks at all primaries; called each check interval.
     void check();
+    /// Registers this instance if it may, and brings its member object up to date.
+    void publish();
+    /// Planned stop: others relay no new work to this instance.
+    void announceLeave();
     /// Planned stop: unregisters once nothing runs any more.
     void unregister();
 
@@ -59,14 +64,18 @@
     void adoptRecord(ServiceId service, const FleetView::Record &stored);
     void adoptClaim(ServiceId service);
     void adoptCandidate(ServiceId service);
-    void setPrimary(ServiceId service, const std::string &server, std::uint64_t epoch);
+    void setPrimary(ServiceId service, const std::string &server, std::uint64_t epoch, std::uint64_t term);
     void releaseIfIdle(ServiceId service);
     void release(ServiceId service);
     void checkView(ServiceId service);
     void acceptEvidence(TimePoint askedAt);
     /// What was proved so far must not be acted on any more.
     void forgetEvidence();
-    void publish();
+    void armCheck();
+    [[nodiscard]] bool hasOtherMembers() const;
+    /// Fleets with more instances than a backend server has connections: only some of each failure domain register.
+    [[nodiscard]] bool mayRegister();
+    void setPart(FleetPart part);
     /// Time for which a server has answered nothing though it was asked.
     [[nodiscard]] Duration silenceOf(const ServerRow &server) const;
     [[nodiscard]] bool isUnreachable(const ServiceRow &service) const;
@@ -87,6 +96,8 @@
     std::uint64_t ownRevision = 0;
     TimePoint registeredAt{0};
     TimePoint writeAgainAt{0};
+    TimePoint nextCheck{0};    ///< look at the primaries
+    TimePoint vacancySince{0}; ///< there is room for another member; 0: there is none
     TimePoint evidenceAt{0};
     std::map<std::string, Suspicion> suspicions;    ///< by service
     std::map<std::string, TimePoint> drainingSince; ///< by service: its primary leaves
--- a/src/leadership/memberrecord.cpp
+++ b/src/leadership/memberrecord.cpp
@@ -9,9 +9,9 @@
     auto seen = nlohmann::json::object();
     for (const auto &[service, view] : this->views)
         seen[service] = view == PrimaryView::Reachable;
-    return nlohmann::json{{"incarnation", this->incarnation},
-                          {"renewals", this->renewals},
-                          {"reachable", seen},
+    return nlohmann::json{{"incarnation", this->incarnation},   {"renewals", this->renewals},
+                          {"relayAddress", this->relayAddress}, {"domain", this->failureDomain},
+                          {"leaving", this->leaving},           {"reachable", seen},
                           {"released", this->released}}
         .dump();
 }
@@ -21,6 +21,9 @@
     try {
         const auto root = nlohmann::json::parse(text.begin(), text.end());
         MemberRecord record{.incarnation = root.at("incarnation").get<std::uint64_t>(),
+                            .relayAddress = root.value("relayAddress", std::string()),
+                            .failureDomain = root.value("domain", std::string()),
+                            .leaving = root.value("leaving", false),
                             .renewals = root.at("renewals").get<std::uint64_t>()};
         for (const auto &[service, reachable] : root.at("reachable").items())
             record.views[service] = reachable.get<bool>() ? PrimaryView::Reachable : PrimaryView::Unreachable;
--- a/src/leadership/memberrecord.h
+++ b/src/leadership/memberrecord.h
@@ -15,7 +15,10 @@
 /// registered; whoever replaces a primary waits for every registered instance.
 struct MemberRecord
 {
-    std::uint64_t incarnation = 0;            ///< start of the process; 0: struck off by another instance
+    std::uint64_t incarnation = 0; ///< start of the process; 0: struck off by another instance
+    std::string relayAddress;      ///< "ip:port" where it takes relayed work; empty: nowhere
+    std::string failureDomain;
+    bool leaving = false;                     ///< takes no new relayed work
     std::uint64_t renewals = 0;               ///< rises whenever the instance comes back after its knowledge had lapsed
     std::map<std::string, PrimaryView> views; ///< by service; only while one is suspected
     std::map<std::string, std::uint64_t> released; ///< by service: epoch for which it no longer uses the old primary
--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -1,6 +1,7 @@
 #include "pool/dispatchsystem.h"
 
 #include "pool/poolworld.h"
+#include "pool/relayedroute.h"
 
 #include <algorithm>
 #include <cassert>
@@ -48,6 +49,8 @@
     const ServiceId id = this->serviceOf(session);
     if (!id.isValid())
         return "no server known";
+    if (this->world.isRelaying())
+        return "relayed, " + std::to_string(this->world.memberById.size()) + " members";
     const ServiceRow &service = this->world.services.at(id);
     const ServerRow *primary = this->world.servers.find(service.primary);
     std::string text = service.primaryId.empty() ? "no primary" : "primary " + service.primaryId;
@@ -113,6 +116,8 @@
     const ServiceId serviceId = this->serviceOf(session);
     if (!serviceId.isValid())
         return false;
+    if (this->world.isRelaying())
+        return this->relay(id);
     if (session.work->needsPrimary) {
         if (!this->chooser.primaryUsable(serviceId))
             return false;
@@ -129,6 +134,13 @@
     return false;
 }
 
+bool DispatchSystem::relay(SessionId id)
+{
+    const std::vector<ServerId> members = this->chooser.members(this->world.sessions.at(id));
+    return std::any_of(members.begin(), members.end(),
+                       [&](ServerId member) { return this->sendTo(id, member, std::nullopt); });
+}
+
 bool DispatchSystem::sendTo(SessionId id, ServerId server, std::optional<LogPosition> after)
 {
     const LinkId linkId = this->links.findFree(server, id);
@@ -151,7 +163,7 @@
         return true;
     }
     session.transaction->link = linkId;
-    session.transaction->needsLeadership = !after.has_value();
+    session.transaction->needsLeadership = !after && !this->world.servers.at(server).isMember;
     this->prepareLink(session, linkId);
     this->links.send(
         linkId, ExchangeKind::Begin,
@@ -166,6 +178,8 @@
 void DispatchSystem::prepareLink(SessionRow &session, LinkId linkId)
 {
     LinkRow &link = this->world.links.at(linkId);
+    if (this->world.servers.at(link.server).isMember && !link.inTransaction)
+        this->describeSession(session, linkId);
     const bool foreign = std::any_of(link.values.begin(), link.values.end(),
                                      [&](const auto &value) { return !session.values.contains(value.first); });
     if (foreign) {
@@ -184,6 +198,19 @@
     }
 }
 
+void DispatchSystem::describeSession(const SessionRow &session, LinkId linkId)
+{
+    LinkRow &link = this->world.links.at(linkId);
+    RelayedRoute relayed{.route = *session.route};
+    if (session.mark != LogPosition{})
+        relayed.mark = session.mark;
+    std::string text = relayed.toText();
+    if (text == link.relayedRoute)
+        return;
+    this->links.send(linkId, ExchangeKind::Setup, ServerCommand{.kind = CommandKind::UseRoute, .argument = text});
+    link.relayedRoute = std::move(text);
+}
+
 void DispatchSystem::sendStatement(SessionId id, LinkId linkId, std::optional<LogPosition> after)
 {
     SessionRow &session = this->world.sessions.at(id);
@@ -218,8 +245,12 @@
     TimePoint deadline = std::max(work.arrivedAt, this->world.now - session.route->statementTimeout / 2)
                          + session.route->statementTimeout;
     const ServerRow &server = this->world.servers.at(link.server);
-    if (!session.transaction && !work.writes && work.attempts == 1)
-        deadline = std::min(deadline, this->world.now + std::max(slowReadLeast, server.responseTime * slowReadFactor));
+    if (!session.transaction && !work.writes && work.attempts == 1) {
+        // A member may let the work wait as long as this instance would.
+        const Duration patience = server.isMember ? session.route->statementTimeout / 2
+                                                  : std::max(slowReadLeast, server.responseTime * slowReadFactor);
+        deadline = std::min(deadline, this->world.now + patience);
+    }
     this->links.setDeadline(linkId, deadline);
 }
 
@@ -229,7 +260,8 @@
     PendingWork &work = *session.work;
     work.lastError = std::move(error);
     work.withheld.reset();
-    if (work.attempts >= attemptLimit) {
+    const bool relayedTooLong = this->world.isRelaying() && this->world.now >= work.giveUpAt;
+    if (work.attempts >= attemptLimit || relayedTooLong) {
         this->finishWithError(id, OutcomeCode::Busy, work.lastError ? work.lastError->text : "no server could run it",
                               SessionState::Failed);
         return;
@@ -260,7 +292,11 @@
 void DispatchSystem::releaseLink(LinkId linkId)
 {
     this->detach(linkId);
-    this->drain(this->world.servers.at(this->world.links.at(linkId).server).service);
+    const ServerRow &server = this->world.servers.at(this->world.links.at(linkId).server);
+    const ServiceId service = server.service;
+    if (!this->links.isWanted(server) && this->world.links.at(linkId).isFree())
+        this->links.close(linkId, LinkEnd::Closed);
+    this->drain(service);
 }
 
 void DispatchSystem::sendRollback(LinkId linkId)
@@ -272,6 +308,17 @@
 
 void DispatchSystem::drain(ServiceId serviceId)
 {
+    if (serviceId == this->world.relayService) {
+        // A member runs the work of every service.
+        std::vector<ServiceId> waitingServices;
+        this->world.services.forEach([&](ServiceId id, const ServiceRow &service) {
+            if (!service.queue.empty())
+                waitingServices.push_back(id);
+        });
+        for (const ServiceId id : waitingServices)
+            this->drain(id);
+        return;
+    }
     // Work is taken off the list first: an attempt may put it back.
     std::vector<SessionId> waiting;
     waiting.swap(this->world.services.at(serviceId).queue);
@@ -325,7 +372,7 @@
     // While the primary is away its replacement may come in time.
     const ServiceId serviceId = this->serviceOf(*session);
     const TimePoint patience = work.arrivedAt + this->world.options.primaryWait;
-    if (work.needsPrimary && serviceId.isValid() && this->world.now < patience) {
+    if (work.needsPrimary && serviceId.isValid() && !this->world.isRelaying() && this->world.now < patience) {
         const ServiceRow &service = this->world.services.at(serviceId);
         const bool away =
             !this->chooser.primaryUsable(serviceId) || this->world.servers.at(service.primary).links.empty();
--- a/src/pool/dispatchsystem.h
+++ b/src/pool/dispatchsystem.h
@@ -63,6 +63,8 @@
 
 private:
     bool trySend(SessionId session);
+    bool relay(SessionId session);
+    void describeSession(const SessionRow &session, LinkId link);
     bool sendTo(SessionId session, ServerId server, std::optional<LogPosition> after);
     void sendStatement(SessionId session, LinkId link, std::optional<LogPosition> after);
     void prepareLink(SessionRow &session, LinkId link);
--- a/src/pool/linkrow.h
+++ b/src/pool/linkrow.h
@@ -51,6 +51,7 @@
     TimePoint deadline{0};                                  ///< for the oldest exchange; 0: none
     std::map<std::string, std::string, std::less<>> values; ///< session values in force on the connection
     std::set<std::string, std::less<>> prepared;            ///< names of the pool's own prepared statements
+    std::string relayedRoute;                               ///< to a member: what it was last told of the session
 
     [[nodiscard]] bool isFree() const { return this->open && !this->user.isValid() && this->exchanges.empty(); }
 };
--- a/src/pool/linksystem.cpp
+++ b/src/pool/linksystem.cpp
@@ -29,10 +29,21 @@
 
 } // namespace
 
-std::uint32_t LinkSystem::linkLimit(const std::string &service) const
+bool LinkSystem::isWanted(const ServerRow &server) const
+{
+    if (server.isMember)
+        return this->world.isRelaying() && !server.entry.draining;
+    return this->world.part == FleetPart::Member;
+}
+
+std::uint32_t LinkSystem::linkLimit(const ServerRow &server) const
 {
     const PoolOptions &options = this->world.options;
-    const std::uint32_t limit = this->world.routes ? this->world.routes->maxConnections(service) : 0;
+    if (!this->isWanted(server))
+        return 0;
+    if (server.isMember)
+        return options.relayLinks;
+    const std::uint32_t limit = this->world.routes ? this->world.routes->maxConnections(server.entry.service) : 0;
     const std::uint32_t shared = limit > options.spareConnections ? limit - options.spareConnections : 1;
     const std::uint32_t instances = std::max(this->world.instances, options.expectedInstances);
     return std::clamp<std::uint32_t>(shared / instances, 1, options.linksPerServer);
@@ -61,8 +72,9 @@
     if (this->world.now < row.retryAt)
         return false;
     // Orders may use one of the connections that work leaves free.
+    const std::uint32_t limit = this->linkLimit(row);
     const std::uint32_t extra = purpose == LinkPurpose::Order ? 1 : 0;
-    if (row.links.size() >= this->linkLimit(row.entry.service) + extra)
+    if (limit == 0 || row.links.size() >= limit + extra)
         return false;
 
     const LinkId link = this->world.links.insert(LinkRow{.server = server, .openedAt = this->world.now});
@@ -71,7 +83,9 @@
     this->world.counters.add("jujubekeel_pool_links_opened_total");
     this->world.emit(OpenLink{.link = link, .address = row.entry.address});
     this->send(link, ExchangeKind::Open,
-               ServerCommand{.kind = CommandKind::Open, .name = row.entry.service, .argument = row.entry.id});
+               ServerCommand{.kind = CommandKind::Open,
+                             .name = row.isMember ? std::string(relayDatabase) : row.entry.service,
+                             .argument = row.entry.id});
     this->setDeadline(link, this->world.now + this->world.options.openTimeout);
     return true;
 }
--- a/src/pool/linksystem.h
+++ b/src/pool/linksystem.h
@@ -11,6 +11,7 @@
 namespace Jujubekeel {
 
 struct PoolWorld;
+struct ServerRow;
 
 enum class LinkEnd : std::uint8_t {
     Refused,  ///< nothing listens at the address
@@ -37,8 +38,10 @@
 public:
     explicit LinkSystem(PoolWorld &poolWorld) : world(poolWorld) {}
 
-    /// Connections of this instance to one server of the service, at most.
-    [[nodiscard]] std::uint32_t linkLimit(const std::string &service) const;
+    /// This instance's part in the fleet has use for connections to the server.
+    [[nodiscard]] bool isWanted(const ServerRow &server) const;
+    /// Connections of this instance to one server, at most.
+    [[nodiscard]] std::uint32_t linkLimit(const ServerRow &server) const;
     /// A free link of the server; one that already has the values of \a session is preferred.
     [[nodiscard]] LinkId findFree(ServerId server, SessionId session) const;
     /// Opens a link unless the limit is reached, one is being opened, or a failure was too recent. Returns true if one
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -18,7 +18,8 @@
       results(this->world, this->links, this->dispatch), sessions(this->world, this->dispatch),
       directory(this->world, this->links, this->dispatch, this->results),
       leadership(this->world, this->dispatch, this->results, leadershipOptions),
-      promotion(this->world, this->links, this->leadership, leadershipOptions)
+      promotion(this->world, this->links, this->leadership, leadershipOptions),
+      relay(this->world, this->links, this->results)
 {
     this->world.options = std::move(options);
 }
@@ -26,6 +27,7 @@
 void PoolCore::start(TimePoint now, std::uint64_t incarnation)
 {
     this->world.now = now;
+    this->relay.start();
     this->leadership.start(incarnation);
 }
 
@@ -43,6 +45,13 @@
         this->sessions.open(session, database);
 }
 
+void PoolCore::relayOpens(TimePoint now, SessionId session, const std::string &expected)
+{
+    this->world.now = now;
+    if (this->world.sessions.contains(session))
+        this->sessions.openRelayed(session, expected);
+}
+
 void PoolCore::callerRuns(TimePoint now, SessionId session, Statement statement)
 {
     this->world.now = now;
@@ -87,7 +96,7 @@
         return;
     }
     this->links.greeted(link);
-    this->dispatch.drain(this->world.servers.at(this->world.links.at(link).server).service);
+    this->dispatch.releaseLink(link);
 }
 
 void PoolCore::linkEnds(TimePoint now, LinkId link, LinkEnd end)
@@ -109,6 +118,7 @@
                      {"earlier", std::to_string(present)},
                      {"routes", std::to_string(this->world.routes->size())}});
     this->directory.servicesChanged();
+    this->reviewPart();
 }
 
 void PoolCore::entryChanged(TimePoint now, const ServerEntry &entry)
@@ -136,7 +146,10 @@
 {
     this->world.now = now;
     this->leadership.newsReceived(news);
+    this->relay.update(this->leadership.fleet());
     this->promotion.advance();
+    if (this->world.isRelaying())
+        this->dispatch.drain(this->world.relayService);
 }
 
 void PoolCore::writeFinished(TimePoint now, const WriteOutcome &outcome)
@@ -144,6 +157,7 @@
     this->world.now = now;
     if (!this->leadership.writeFinished(outcome))
         this->promotion.writeFinished(outcome);
+    this->relay.update(this->leadership.fleet());
 }
 
 void PoolCore::promotionFinished(TimePoint now, const PromotionOutcome &outcome)
@@ -194,6 +208,9 @@
         this->leadership.check();
         this->promotion.check();
         return;
+    case TimerKind::Vacancy:
+        this->reviewPart();
+        return;
     case TimerKind::Replacement:
         this->promotion.advance();
         return;
@@ -206,6 +223,12 @@
     }
 }
 
+void PoolCore::reviewPart()
+{
+    this->leadership.publish();
+    this->relay.update(this->leadership.fleet());
+}
+
 void PoolCore::handleStop()
 {
     const Duration stopping = this->world.now - this->world.stopRequestedAt;
@@ -227,6 +250,7 @@
     this->world.stopping = true;
     this->world.stopRequestedAt = now;
     this->world.log(LogLevel::Info, "stop-requested", {{"sessions", std::to_string(this->world.sessions.size())}});
+    this->leadership.announceLeave();
     this->world.timers.add(now + this->world.options.stopDrainDelay, TimerKind::Stop);
 }
 
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -7,6 +7,7 @@
 #include "pool/dispatchsystem.h"
 #include "pool/linksystem.h"
 #include "pool/poolworld.h"
+#include "pool/relaysystem.h"
 #include "pool/resultsystem.h"
 #include "pool/sessionsystem.h"
 
@@ -35,6 +36,9 @@
     /// A caller's connection was accepted; it has not yet named its database.
     [[nodiscard]] SessionId callerConnected(TimePoint now);
     void callerOpens(TimePoint now, SessionId session, const std::string &database);
+    /// A connection of another instance was accepted; it relays the work of its own callers. \a expected is the
+    /// instance that it means.
+    void relayOpens(TimePoint now, SessionId session, const std::string &expected);
     void callerRuns(TimePoint now, SessionId session, Statement statement);
     /// The caller said goodbye or its connection ended.
     void callerEnds(TimePoint now, SessionId session);
@@ -74,6 +78,8 @@
 private:
     void handleTimer(const TimerQueue::Entry &entry);
     void handleStop();
+    /// Registers this instance if it may, and follows the part that it has in the fleet.
+    void reviewPart();
 
     PoolWorld world;
     LinkSystem links;
@@ -83,6 +89,7 @@
     DirectorySystem directory;
     LeadershipSystem leadership;
     PromotionSystem promotion;
+    RelaySystem relay;
 };
 
 } // namespace Jujubekeel
--- a/src/pool/poolmessages.h
+++ b/src/pool/poolmessages.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Messages of the statement protocol, towards callers and towards backend servers.
@@ -40,6 +41,9 @@
     std::optional<LogPosition> position; ///< Ready: applied position of the server's log
 };
 
+/// Stands for the database in the greeting of a link to another instance.
+inline constexpr std::string_view relayDatabase = "jujubekeel";
+
 enum class CommandKind : std::uint8_t {
     Open,    ///< name: service; argument: expected id of the server
     Forward, ///< text of the caller
@@ -50,6 +54,7 @@
     SetValue,     ///< name, argument: the value
     PrepareRead,  ///< name, argument: the shape
     PrepareWrite, ///< name, argument: the shape
+    UseRoute,     ///< to a member; argument: a RelayedRoute
     ResetSession, ///< clears values and prepared statements; the answer carries the log position
     Status,
     PauseReplication, ///< term: above the newest one
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -20,6 +20,13 @@
     std::uint32_t linksPerServer = 3;    ///< connections of this instance to one backend server, at most
     std::uint32_t spareConnections = 2;  ///< of each server, kept free for restarts and for promotion
 
+    std::string relayAddress;       ///< "ip:port" where work is taken from other instances; empty: never
+    std::uint32_t membersLeast = 9; ///< fleets up to this size have no other instances
+    std::uint32_t membersMost = 16; ///< each member reads every change of the fleet's objects
+    std::uint32_t relayLinks = 24;  ///< connections to one member, at most
+    std::uint32_t relayTargets = 3; ///< members that one instance uses, the nearest ones
+    Duration relaySilence = std::chrono::milliseconds(500); ///< a member without an answer for this long is used last
+
     Duration queueWait = std::chrono::milliseconds(800);    ///< wait for a connection before Busy
     Duration primaryWait = std::chrono::milliseconds(1800); ///< the same while the primary is being replaced
     Duration openTimeout = std::chrono::milliseconds(1000); ///< connect and greeting
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -19,6 +19,13 @@
 
 namespace Jujubekeel {
 
+/// What an instance does for its callers' work.
+enum class FleetPart : std::uint8_t {
+    Undecided, ///< the fleet's objects have not been read
+    Member,    ///< holds connections to backend servers, and takes part in leadership
+    Relaying,  ///< hands the work to members
+};
+
 /// All state of one instance's statement pool: flat tables that the systems run over. Owned by PoolCore and touched only
 /// within its inputs.
 struct PoolWorld
@@ -31,6 +38,9 @@
     Table<ServiceId, ServiceRow> services;
     std::unordered_map<std::string, ServerId> serverById;
     std::unordered_map<std::string, ServiceId> serviceByName;
+    std::map<std::string, ServerId> memberById; ///< other instances that take relayed work
+    ServiceId relayService;                     ///< lists the members
+    FleetPart part = FleetPart::Undecided;
     std::shared_ptr<const RouteTable> routes; ///< null: no configuration has been received
     std::uint32_t instances = 1;              ///< instances that share the servers' connections
     bool stopping = false;
@@ -40,6 +50,7 @@
     Counters counters;
     PoolActions actions; ///< of the present input
 
+    [[nodiscard]] bool isRelaying() const { return this->part == FleetPart::Relaying; }
     [[nodiscard]] std::uint64_t takeCall() { return this->nextCall++; }
     template <typename Action>
     void emit(Action action)
--- /dev/null
+++ b/src/pool/relaysystem.cpp
@@ -0,0 +1,106 @@
+#include "pool/relaysystem.h"
+
+#include "leadership/fleetview.h"
+#include "pool/linksystem.h"
+#include "pool/poolworld.h"
+#include "pool/resultsystem.h"
+
+#include <vector>
+
+namespace Jujubekeel {
+
+RelaySystem::RelaySystem(PoolWorld &poolWorld, LinkSystem &linkSystem, ResultSystem &resultSystem)
+    : world(poolWorld), links(linkSystem), results(resultSystem), part(FleetPart::Undecided)
+{
+}
+
+void RelaySystem::start()
+{
+    // Members are listed under a service of their own that no route names.
+    this->world.relayService =
+        this->world.services.insert(ServiceRow{.positions = PositionHistory(PositionHistoryOptions{})});
+}
+
+void RelaySystem::update(const FleetView &view)
+{
+    std::vector<std::string> gone;
+    for (const auto &[instance, server] : this->world.memberById) {
+        const FleetView::Member *member = view.member(instance);
+        if (member == nullptr || member->record.isStruckOff())
+            gone.push_back(instance);
+    }
+    for (const std::string &instance : gone)
+        this->removeMember(instance);
+    for (const auto &[instance, member] : view.members()) {
+        const bool offers = !member.record.isStruckOff() && !member.record.relayAddress.empty();
+        if (offers && instance != this->world.options.instance)
+            this->listMember(instance, member.record);
+    }
+    if (this->part != this->world.part)
+        this->changePart();
+}
+
+void RelaySystem::listMember(const std::string &instance, const MemberRecord &record)
+{
+    const auto found = this->world.memberById.find(instance);
+    if (found != this->world.memberById.end()) {
+        const ServerEntry &entry = this->world.servers.at(found->second).entry;
+        if (entry.address == record.relayAddress && entry.incarnation == record.incarnation) {
+            if (record.leaving && !entry.draining) {
+                this->world.servers.at(found->second).entry.draining = true;
+                this->closeFreeLinks(found->second);
+            }
+            return;
+        }
+        // A new process under the name: what ran at the old one is lost.
+        this->removeMember(instance);
+    }
+    const ServerId id = this->world.servers.insert(ServerRow{.entry = ServerEntry{.id = instance,
+                                                                                  .service = {},
+                                                                                  .address = record.relayAddress,
+                                                                                  .failureDomain = record.failureDomain,
+                                                                                  .draining = record.leaving,
+                                                                                  .incarnation = record.incarnation},
+                                                             .service = this->world.relayService,
+                                                             .isMember = true});
+    this->world.memberById.emplace(instance, id);
+    this->world.services.at(this->world.relayService).servers.push_back(id);
+}
+
+void RelaySystem::removeMember(const std::string &instance)
+{
+    const ServerId id = this->world.memberById.at(instance);
+    this->world.memberById.erase(instance);
+    std::erase(this->world.services.at(this->world.relayService).servers, id);
+    const std::vector<LinkId> open = this->world.servers.at(id).links;
+    for (const LinkId link : open)
+        this->results.linkLost(link, LinkEnd::Closed);
+    this->world.servers.erase(id);
+}
+
+void RelaySystem::changePart()
+{
+    this->part = this->world.part;
+    this->world.log(LogLevel::Info, this->world.isRelaying() ? "relays-to-members" : "is-member",
+                    {{"members", std::to_string(this->world.memberById.size())}});
+
+    // Links that are in use are closed when their work is over.
+    std::vector<ServerId> unused;
+    this->world.servers.forEach([&](ServerId id, ServerRow &row) {
+        if (!this->links.isWanted(row))
+            unused.push_back(id);
+    });
+    for (const ServerId id : unused)
+        this->closeFreeLinks(id);
+}
+
+void RelaySystem::closeFreeLinks(ServerId id)
+{
+    const std::vector<LinkId> open = this->world.servers.at(id).links;
+    for (const LinkId link : open) {
+        if (this->world.links.at(link).isFree())
+            this->links.close(link, LinkEnd::Closed);
+    }
+}
+
+} // namespace Jujubekeel
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -201,6 +201,8 @@
     const ServiceId serviceId = this->world.servers.at(link.server).service;
     const ServiceRow &service = this->world.services.at(serviceId);
     const bool onPrimary = service.primary == link.server && service.leadership == link.leadership;
+    // A member has judged the result before it passed it on.
+    const bool relayed = this->world.servers.at(link.server).isMember;
     CallerReply reply{.rows = std::move(completed.exchange.rows),
                       .digest = std::move(completed.exchange.digest),
                       .error = std::nullopt,
@@ -213,11 +215,9 @@
     const bool wrote = commit ? session.transaction->wrote : work.writes;
     const bool proved = this->leadershipProved(link, serviceId);
     const bool dependsOnLeadership =
-        session.transaction ? session.transaction->needsLeadership : work.needsPrimary || !work.after;
-    if (wrote && over && onPrimary && completed.position) {
+        !relayed && (session.transaction ? session.transaction->needsLeadership : work.needsPrimary || !work.after);
+    if (wrote && over && (onPrimary || relayed) && completed.position)
         session.mark = *completed.position;
-        session.markLeadership = service.leadership;
-    }
     if (over) {
         link.inTransaction = completed.state != SessionState::Idle;
         if (session.transaction)
--- a/src/pool/serverchooser.cpp
+++ b/src/pool/serverchooser.cpp
@@ -3,6 +3,8 @@
 #include "pool/poolworld.h"
 
 #include <algorithm>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace Jujubekeel {
@@ -27,7 +29,7 @@
     const ServiceRow &row = this->world.services.at(service);
     auto required = row.positions.covering(session.work->consistentAt);
     // Positions of an earlier leadership may have been rolled back; any position of the present one covers what is left.
-    if (required && session.markLeadership == row.leadership)
+    if (required && session.mark.term >= row.term)
         required = std::max(*required, session.mark);
     return required;
 }
@@ -53,6 +55,42 @@
     return wait;
 }
 
+std::vector<ServerId> ServerChooser::members(const SessionRow &session) const
+{
+    const PoolOptions &options = this->world.options;
+    struct Candidate
+    {
+        bool silent = false;
+        Duration wait{0};
+        std::size_t tieBreak = 0;
+        ServerId id;
+    };
+    std::vector<Candidate> candidates;
+    for (const auto &[instance, id] : this->world.memberById) {
+        const ServerRow &row = this->world.servers.at(id);
+        const auto &excluded = session.work->excluded;
+        const bool absent = row.unreachableSince.count() != 0 && this->world.now < row.retryAt;
+        if (row.entry.draining || absent || std::find(excluded.begin(), excluded.end(), id) != excluded.end())
+            continue;
+        const bool silent = row.askedSince.count() != 0
+                            && this->world.now - std::max(row.askedSince, row.lastAnswerAt) > options.relaySilence;
+        // Instances that know equally little of the members spread over them.
+        candidates.push_back(Candidate{.silent = silent,
+                                       .wait = this->expectedWait(id, false),
+                                       .tieBreak = std::hash<std::string>{}(options.instance + instance),
+                                       .id = id});
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
+        return std::tie(left.silent, left.wait, left.tieBreak) < std::tie(right.silent, right.wait, right.tieBreak);
+    });
+    std::vector<ServerId> nearest;
+    for (const Candidate &candidate : candidates) {
+        if (nearest.size() < options.relayTargets)
+            nearest.push_back(candidate.id);
+    }
+    return nearest;
+}
+
 std::vector<ServerId> ServerChooser::forRead(const SessionRow &session, ServiceId service,
                                              std::optional<LogPosition> required) const
 {
--- a/src/pool/serverchooser.h
+++ b/src/pool/serverchooser.h
@@ -28,6 +28,9 @@
     [[nodiscard]] std::vector<ServerId> forRead(const SessionRow &session, ServiceId service,
                                                 std::optional<LogPosition> required) const;
 
+    /// Members that may take relayed work, the one with the shortest expected wait first.
+    [[nodiscard]] std::vector<ServerId> members(const SessionRow &session) const;
+
 private:
     [[nodiscard]] bool takesNewWork(ServerId server) const;
     [[nodiscard]] Duration expectedWait(ServerId server, bool isPrimary) const;
--- a/src/pool/serverrow.h
+++ b/src/pool/serverrow.h
@@ -16,6 +16,7 @@
 {
     ServerEntry entry;
     ServiceId service;
+    bool isMember = false;      ///< an instance that takes relayed work, not a backend server
     TimePoint missingSince{0};  ///< the entry is away, the server may live; 0: it is there
     TimePoint drainingSince{0}; ///< 0: not draining
 
--- a/src/pool/servicerow.h
+++ b/src/pool/servicerow.h
@@ -19,6 +19,7 @@
     ServerId primary;             ///< invalid: unknown
     std::string primaryId;        ///< backend server that leads; kept while its entry is away
     TimePoint missingSince{0};    ///< the primary has no entry; 0: it has one
+    std::uint64_t term = 0;       ///< positions of lower terms were made under an earlier primary; 0: there was none
     std::uint64_t epoch = 0;      ///< of the leadership record that was last acted on; 0: there is none
     std::uint64_t leadership = 1; ///< rises with each change of the primary that this instance learns of
     bool changing = false;        ///< a replacement is under way: no new work is sent to the primary
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -58,6 +58,7 @@
 struct SessionRow
 {
     std::string database;
+    bool relayed = false; ///< another instance's link; its route comes with the work
     SessionState state = SessionState::Idle;
     std::shared_ptr<const Route> route; ///< of the running transaction or statement
     std::optional<TransactionState> transaction;
@@ -67,8 +68,7 @@
     std::map<std::string, std::string, std::less<>> values;
     std::map<std::string, PreparedStatement, std::less<>> prepared;
 
-    LogPosition mark;                 ///< newest commit of the session
-    std::uint64_t markLeadership = 0; ///< leadership under which it was made; 0: no commit yet
+    LogPosition mark; ///< newest commit of the session
 };
 
 } // namespace Jujubekeel
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -2,6 +2,7 @@
 
 #include "pool/dispatchsystem.h"
 #include "pool/poolworld.h"
+#include "pool/relayedroute.h"
 
 #include <cassert>
 #include <utility>
@@ -70,6 +71,20 @@
     this->world.emit(GreetCaller{.session = id});
 }
 
+void SessionSystem::openRelayed(SessionId id, const std::string &expected)
+{
+    // Addresses of instances that are gone are used again.
+    if (expected != this->world.options.instance) {
+        this->world.emit(
+            RefuseCaller{.session = id,
+                         .error = {.code = OutcomeCode::Misrouted, .text = "this is " + this->world.options.instance}});
+        this->world.sessions.erase(id);
+        return;
+    }
+    this->world.sessions.at(id).relayed = true;
+    this->world.emit(GreetCaller{.session = id});
+}
+
 void SessionSystem::run(SessionId id, Statement statement)
 {
     SessionRow &session = this->world.sessions.at(id);
@@ -105,7 +120,19 @@
                      SessionState::Failed);
         return;
     }
+    const bool fromMemberOnly =
+        statement.kind == StatementKind::UseRoute || statement.kind == StatementKind::ResetSession;
+    if (fromMemberOnly && !session.relayed)
+        statement.kind = StatementKind::Malformed;
     switch (statement.kind) {
+    case StatementKind::UseRoute:
+        this->useRoute(id, statement);
+        return;
+    case StatementKind::ResetSession:
+        session.values.clear();
+        session.prepared.clear();
+        this->answer(id, session.state);
+        return;
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
         this->begin(id, statement);
@@ -149,6 +176,22 @@
     this->startWork(id, std::move(statement));
 }
 
+void SessionSystem::useRoute(SessionId id, const Statement &statement)
+{
+    SessionRow &session = this->world.sessions.at(id);
+    const auto relayed = RelayedRoute::fromText(statement.argument);
+    if (!relayed || session.state != SessionState::Idle) {
+        // What follows on the link was meant for another route.
+        this->end(id);
+        this->world.emit(CloseCaller{.session = id});
+        return;
+    }
+    session.database = relayed->route.database;
+    session.route = std::make_shared<const Route>(relayed->route);
+    session.mark = relayed->mark.value_or(LogPosition{});
+    this->answer(id, session.state);
+}
+
 void SessionSystem::begin(SessionId id, const Statement &statement)
 {
     SessionRow &session = this->world.sessions.at(id);
@@ -192,6 +235,12 @@
 bool SessionSystem::resolveRoute(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
+    if (session.relayed) {
+        if (session.route)
+            return true;
+        this->refuse(id, OutcomeCode::Malformed, "no route was given", SessionState::Idle);
+        return false;
+    }
     session.route = this->world.routes->find(session.database);
     if (session.route)
         return true;
@@ -217,7 +266,8 @@
     }
 
     const Duration stopping = this->world.now - this->world.stopRequestedAt;
-    if (this->world.stopping && !session.transaction && stopping >= this->world.options.stopNewWork) {
+    const bool refusesNew = session.relayed || stopping >= this->world.options.stopNewWork;
+    if (this->world.stopping && !session.transaction && refusesNew) {
         this->refuse(id, OutcomeCode::Busy, "the instance is stopping", SessionState::Idle);
         return;
     }
@@ -251,6 +301,7 @@
         this->world.log(LogLevel::Info, "statement-failed",
                         {{"request", work.statement.id},
                          {"database", session.database},
+                         {"relayed", session.relayed ? "true" : "false"},
                          {"route", session.route->name},
                          {"routeVersion", std::to_string(session.route->version)},
                          {"code", std::string(codeName(reply.error->code))},
@@ -270,7 +321,7 @@
         session.transaction.reset();
     if (session.transaction && session.transaction->link.isValid()) {
         session.transaction->lastActiveAt = this->world.now;
-        const Duration limit = this->world.routes->transactionIdleLimit();
+        const Duration limit = this->transactionIdleLimit();
         this->world.timers.add(this->world.now + limit, TimerKind::TransactionIdle, id.packed());
     }
     this->world.emit(ReplyToCaller{.session = id, .reply = std::move(reply)});
@@ -282,7 +333,7 @@
     SessionRow *session = this->world.sessions.find(id);
     if (session == nullptr || session->work || !session->transaction || !session->transaction->link.isValid())
         return;
-    const Duration limit = this->world.routes->transactionIdleLimit();
+    const Duration limit = this->transactionIdleLimit();
     if (this->world.now - session->transaction->lastActiveAt < limit)
         return;
     this->world.log(LogLevel::Info, "idle-transaction-ended", {{"database", session->database}});
@@ -290,6 +341,12 @@
     session->transaction->lost = true;
 }
 
+Duration SessionSystem::transactionIdleLimit() const
+{
+    // A member may have no configuration yet; the work that it is given has its route with it.
+    return this->world.routes ? this->world.routes->transactionIdleLimit() : RouteTable().transactionIdleLimit();
+}
+
 void SessionSystem::end(SessionId id)
 {
     if (!this->world.sessions.contains(id))
--- a/src/pool/sessionsystem.h
+++ b/src/pool/sessionsystem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time.h"
 #include "pool/poolids.h"
 #include "pool/poolmessages.h"
 #include "pool/statement.h"
@@ -20,6 +21,8 @@
 
     /// A caller asks for a session on a database.
     void open(SessionId session, const std::string &database);
+    /// Another instance opens a session for work that it relays; \a expected is the instance that it means.
+    void openRelayed(SessionId session, const std::string &expected);
     void run(SessionId session, Statement statement);
     /// The caller ends the session, or its connection has ended.
     void end(SessionId session);
@@ -33,12 +36,14 @@
 private:
     void runNext(SessionId session);
     void start(SessionId session, Statement statement);
+    void useRoute(SessionId session, const Statement &statement);
     void begin(SessionId session, const Statement &statement);
     /// Rolls back the server's side; refuses and returns false if no transaction is open.
     bool endTransaction(SessionId session);
     void rollBack(SessionId session);
     void commitWithoutServer(SessionId session);
     void startWork(SessionId session, Statement statement);
+    [[nodiscard]] Duration transactionIdleLimit() const;
     [[nodiscard]] bool resolveRoute(SessionId session);
     void answer(SessionId session, SessionState state);
     void refuse(SessionId session, OutcomeCode code, std::string text, SessionState state);
--- a/src/pool/statement.h
+++ b/src/pool/statement.h
@@ -16,7 +16,9 @@
     Prepare,
     Execute,
     Deallocate,
-    Malformed, ///< not one of the above; nothing is run
+    UseRoute,     ///< relayed sessions only; argument: a RelayedRoute
+    ResetSession, ///< relayed sessions only: forgets values and prepared statements
+    Malformed,    ///< not one of the above; nothing is run
 };
 
 /// One statement of a caller's session.
--- a/src/pool/timerqueue.h
+++ b/src/pool/timerqueue.h
@@ -19,6 +19,7 @@
     ServiceCheck,    ///< subject: service
     Stop,
     Leadership,  ///< all primaries
+    Vacancy,     ///< room for another member
     Replacement, ///< replacements under way
 };
 
--- a/src/programs/jujubekeel-poolbench/main.cpp
+++ b/src/programs/jujubekeel-poolbench/main.cpp
@@ -12,8 +12,8 @@
 constexpr const char *usage = R"(Plays entry instances, backend servers and the store in virtual time.
 
 Usage:
-  jujubekeel-poolbench random [--from=SEED] [--runs=N]
-  jujubekeel-poolbench trace SEED
+  jujubekeel-poolbench random [--from=SEED] [--runs=N] [--relays]
+  jujubekeel-poolbench trace SEED [--relays]
   jujubekeel-poolbench failover [--seeds=N]
   jujubekeel-poolbench (--help | --version)
 
@@ -21,6 +21,7 @@
   --from=SEED  first seed [default: 1]
   --runs=N     runs, one seed each [default: 200]
   --seeds=N    seeds for each row of the table [default: 10]
+  --relays     nine instances, of which three are members and the others relay their work
   -h --help    show this text
   --version    show the version
 
@@ -29,14 +30,19 @@
 failover: a table of troubles of the primary and of the store, for two leases.
 )";
 
-int playRandomFaults(std::uint64_t from, std::uint64_t runs)
+PoolRunResult playSeed(std::uint64_t seed, bool relays)
+{
+    return runRandomFaults(seed, relays ? largeFleetOptions(seed) : VirtualPoolOptions{});
+}
+
+int playRandomFaults(std::uint64_t from, std::uint64_t runs, bool relays)
 {
     std::uint64_t broken = 0;
     std::size_t operations = 0;
     std::size_t answered = 0;
     std::uint64_t promotions = 0;
     for (std::uint64_t seed = from; seed < from + runs; ++seed) {
-        const PoolRunResult result = runRandomFaults(seed);
+        const PoolRunResult result = playSeed(seed, relays);
         operations += result.operations;
         answered += result.answered;
         promotions += result.promotions;
@@ -52,9 +58,9 @@
     return broken == 0 ? 0 : 1;
 }
 
-int traceRun(std::uint64_t seed)
+int traceRun(std::uint64_t seed, bool relays)
 {
-    const PoolRunResult result = runRandomFaults(seed);
+    const PoolRunResult result = playSeed(seed, relays);
     for (const std::string &line : result.logLines)
         std::printf("%s\n", line.c_str());
     for (const std::string &violation : result.violations)
@@ -72,6 +78,7 @@
         return 0;
     }
     if (options.isGiven("trace"))
-        return traceRun(options.number("SEED", 1, 1'000'000'000));
-    return playRandomFaults(options.number("--from", 1, 1'000'000'000), options.number("--runs", 1, 1'000'000));
+        return traceRun(options.number("SEED", 1, 1'000'000'000), options.isGiven("--relays"));
+    return playRandomFaults(options.number("--from", 1, 1'000'000'000), options.number("--runs", 1, 1'000'000),
+                            options.isGiven("--relays"));
 }
--- a/src/virtualpool/poolfaults.cpp
+++ b/src/virtualpool/poolfaults.cpp
@@ -19,10 +19,12 @@
 
 void applyRandomFault(VirtualPool &pool, SeededRandom &random)
 {
-    const std::size_t instance = random.below(3);
+    const std::size_t instance = random.below(pool.instanceCount());
     const std::size_t server = random.below(3);
     const Duration length = std::chrono::milliseconds(300 + static_cast<std::int64_t>(random.below(6000)));
-    const std::uint64_t kind = random.below(11);
+    const std::size_t instances = pool.instanceCount();
+    const bool relays = instances > 3;
+    const std::uint64_t kind = random.below(relays ? 12 : 11);
     pool.note("fault kind=" + std::to_string(kind) + " instance=" + std::to_string(instance)
               + " server=" + std::to_string(server) + " us=" + std::to_string(length.count()));
     switch (kind) {
@@ -50,10 +52,10 @@
         pool.at(length, [&pool, instance, server] { pool.cutInstanceFromServer(instance, server, false); });
         return;
     case 6:
-        for (std::size_t each = 0; each < 3; ++each)
+        for (std::size_t each = 0; each < instances; ++each)
             pool.cutInstanceFromServer(each, server, each != instance);
-        pool.at(length, [&pool, server] {
-            for (std::size_t each = 0; each < 3; ++each)
+        pool.at(length, [&pool, server, instances] {
+            for (std::size_t each = 0; each < instances; ++each)
                 pool.cutInstanceFromServer(each, server, false);
         });
         return;
@@ -69,6 +71,12 @@
         pool.group().setLostAnswers(server, 10);
         pool.at(length, [&pool, server] { pool.group().setLostAnswers(server, 0); });
         return;
+    case 11: {
+        const std::size_t other = (instance + 1 + random.below(instances - 1)) % instances;
+        pool.cutInstances(instance, other, true);
+        pool.at(length, [&pool, instance, other] { pool.cutInstances(instance, other, false); });
+        return;
+    }
     default:
         pool.setStoreAnswersLost(true);
         pool.at(length / 2, [&pool] { pool.setStoreAnswersLost(false); });
@@ -76,10 +84,19 @@
     }
 }
 
-PoolRunResult runRandomFaults(std::uint64_t seed)
+VirtualPoolOptions largeFleetOptions(std::uint64_t seed)
+{
+    VirtualPoolOptions options{.instances = 9, .relays = true, .seed = seed};
+    options.pool.membersLeast = 3;
+    options.pool.membersMost = 3;
+    return options;
+}
+
+PoolRunResult runRandomFaults(std::uint64_t seed, VirtualPoolOptions options)
 {
+    options.seed = seed;
     SeededRandom random(seed);
-    VirtualPool pool({.seed = seed});
+    VirtualPool pool(std::move(options));
     PoolWorkload workload(pool, {.seed = seed});
     pool.run(warmUp);
     workload.start(pool.now() + loadTime);
--- a/src/virtualpool/poolfaults.h
+++ b/src/virtualpool/poolfaults.h
@@ -25,6 +25,9 @@
 };
 
 /// Runs the usual load for 12 s with one to five random faults, then lets the fleet settle and checks all rules.
-[[nodiscard]] PoolRunResult runRandomFaults(std::uint64_t seed);
+[[nodiscard]] PoolRunResult runRandomFaults(std::uint64_t seed, VirtualPoolOptions options = {});
+
+/// Nine instances in three failure domains, of which one in each domain is a member and the others relay their work.
+[[nodiscard]] VirtualPoolOptions largeFleetOptions(std::uint64_t seed);
 
 } // namespace Jujubekeel
--- a/src/virtualpool/statementgroup.cpp
+++ b/src/virtualpool/statementgroup.cpp
@@ -149,6 +149,9 @@
     case CommandKind::Execute:
         this->runStatement(connection, command);
         return;
+    case CommandKind::UseRoute:
+        this->record.misuse.push_back("a route was sent to a backend server");
+        return;
     case CommandKind::Close:
         this->disconnect(connection);
         return;
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -23,6 +23,16 @@
             .deliver = [this](std::uint64_t connection,
                               const ServerMessage &message) { this->deliver(connection, message); },
             .dropped = [this](std::uint64_t connection) { this->dropped(connection); }});
+    this->relayWires = std::make_unique<RelayWires>(
+        this->events, this->options.farDelay,
+        RelayWires::Callbacks{
+            .input = [this](std::size_t instance, std::uint64_t boot,
+                            std::function<void(PoolCore &)> work) { this->input(instance, boot, std::move(work)); },
+            .boot = [this](std::size_t instance) { return this->nodes.at(instance)->boot; },
+            .core = [this](std::size_t from, std::size_t to) -> PoolCore * {
+                const bool cut = this->nodes.at(from)->cutInstances.contains(to);
+                return cut ? nullptr : this->nodes.at(to)->core.get();
+            }});
     for (std::size_t instance = 0; instance < this->options.instances; ++instance) {
         this->nodes.push_back(std::make_unique<Node>());
         this->startInstance(instance);
@@ -40,6 +50,12 @@
     pool.instance = "i" + std::to_string(instance);
     pool.failureDomain = this->options.group.domains.at(instance % this->options.group.domains.size());
     pool.expectedInstances = this->options.instances;
+    if (this->options.relays) {
+        pool.relayAddress = RelayWires::address(instance);
+        for (const std::string &domain : this->options.group.domains)
+            pool.regionOf.emplace(domain, domain);
+        pool.expectedInstances = 1;
+    }
     node.core = std::make_unique<PoolCore>(std::move(pool), this->options.leadership);
     node.boot += 1;
     node.knownRevision = 0;
@@ -67,6 +83,7 @@
         this->servers->disconnect(connection);
         this->wires.erase(connection);
     }
+    this->relayWires->instanceEnded(instance);
     std::erase_if(this->connectionOf, [&](const auto &entry) { return entry.first.first == instance; });
     std::erase_if(this->callerOf, [&](const auto &entry) { return entry.first.first == instance; });
     for (VirtualCaller &caller : this->callers) {
@@ -144,6 +161,7 @@
         return found == this->callerOf.end() ? std::nullopt : std::optional(found->second);
     };
     if (auto *reply = std::get_if<ReplyToCaller>(&action)) {
+        this->relayWires->reply(instance, reply->session, reply->reply);
         const auto id = findCaller(reply->session);
         if (id && !this->callers[*id].closed) {
             this->callers[*id].replies.push_back(reply->reply);
@@ -152,19 +170,24 @@
                 this->onReply(*id, reply->reply);
         }
     } else if (auto *greet = std::get_if<GreetCaller>(&action)) {
+        this->relayWires->greet(instance, greet->session);
         if (const auto id = findCaller(greet->session))
             this->callers[*id].greeted = true;
     } else if (auto *refusal = std::get_if<RefuseCaller>(&action)) {
+        this->relayWires->refuse(instance, refusal->session, refusal->error);
         if (const auto id = findCaller(refusal->session)) {
             this->callers[*id].refusal = refusal->error;
             this->callers[*id].closed = true;
         }
     } else if (auto *leave = std::get_if<CloseCaller>(&action)) {
+        this->relayWires->hangUp(instance, leave->session);
         if (const auto id = findCaller(leave->session))
             this->callers[*id].closed = true;
     } else if (auto *open = std::get_if<OpenLink>(&action)) {
         this->openLink(instance, *open);
     } else if (auto *command = std::get_if<SendCommand>(&action)) {
+        if (this->relayWires->send(instance, command->link, command->command))
+            return;
         const auto found = this->connectionOf.find({instance, command->link.packed()});
         if (found == this->connectionOf.end())
             return;
@@ -175,6 +198,8 @@
             this->events.now() + this->delay(instance, wire.server),
             [this, connection = found->second, sent = command->command] { this->servers->receive(connection, sent); });
     } else if (auto *close = std::get_if<CloseLink>(&action)) {
+        if (this->relayWires->close(instance, close->link))
+            return;
         const auto found = this->connectionOf.find({instance, close->link.packed()});
         if (found == this->connectionOf.end())
             return;
@@ -212,6 +237,10 @@
 
 void VirtualPool::openLink(std::size_t instance, const OpenLink &action)
 {
+    if (RelayWires::isRelay(action.address)) {
+        this->relayWires->open(instance, action.link, action.address);
+        return;
+    }
     std::size_t server = 0;
     while (server < this->servers->size() && this->servers->id(server) != action.address)
         ++server;
@@ -408,6 +437,17 @@
         this->nodes.at(instance)->cutServers.erase(server);
 }
 
+void VirtualPool::cutInstances(std::size_t left, std::size_t right, bool cut)
+{
+    if (cut) {
+        this->nodes.at(left)->cutInstances.insert(right);
+        this->nodes.at(right)->cutInstances.insert(left);
+    } else {
+        this->nodes.at(left)->cutInstances.erase(right);
+        this->nodes.at(right)->cutInstances.erase(left);
+    }
+}
+
 std::shared_ptr<const RouteTable> VirtualPool::makeRoutes() const
 {
     auto routes = std::make_shared<RouteTable>(this->routeVersion);
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -4,6 +4,7 @@
 #include "virtualfleet/eventqueue.h"
 #include "virtualfleet/seededrandom.h"
 #include "virtualpool/fleetstore.h"
+#include "virtualpool/relaywires.h"
 #include "virtualpool/statementgroup.h"
 
 #include <cstddef>
@@ -21,6 +22,7 @@
 struct VirtualPoolOptions
 {
     std::uint32_t instances = 3; ///< instance i stands in failure domain i modulo 3
+    bool relays = false;         ///< instances offer to take work of those that are no members
     StatementGroupOptions group;
     PoolOptions pool;
     LeadershipOptions leadership;
@@ -80,6 +82,8 @@
     void freezeInstance(std::size_t instance, Duration duration);
     void setStoreReachable(std::size_t instance, bool reachable) { this->nodes.at(instance)->reachesStore = reachable; }
     void setStoreAvailable(bool available) { this->storeAvailable = available; }
+    /// What two instances say to each other is lost; neither sees its connections end.
+    void cutInstances(std::size_t left, std::size_t right, bool cut);
     void cutInstanceFromServer(std::size_t instance, std::size_t server, bool cut);
     void stopServer(std::size_t server);
     void startServer(std::size_t server);
@@ -112,6 +116,7 @@
         std::uint64_t boot = 0;
         bool reachesStore = true;
         std::set<std::size_t> cutServers;
+        std::set<std::size_t> cutInstances;
         TimePoint frozenUntil{0};
         TimePoint tickAt{0};
         std::uint64_t knownRevision = 0;
@@ -146,6 +151,7 @@
     SeededRandom random;
     FleetStore fleetStore;
     std::unique_ptr<StatementGroup> servers;
+    std::unique_ptr<RelayWires> relayWires;
     std::vector<std::unique_ptr<Node>> nodes;
     std::map<std::uint64_t, Wire> wires;                                         ///< by connection
     std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> connectionOf; ///< (instance, packed link)
--- /dev/null
+++ b/tests/pool/relaytest.cpp
@@ -0,0 +1,270 @@
+#include "pool/poolsupport.h"
+#include "pool/relayedroute.h"
+#include "virtualpool/poolfaults.h"
+
+#include <algorithm>
+#include <rapidcheck.h>
+
+namespace Jujubekeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t instanceCount = 9;
+
+/// Nine instances in three failure domains, of which one in each domain is a member.
+class RelayedPool
+{
+public:
+    explicit RelayedPool(std::uint64_t seed = 1)
+        : pool(largeFleetOptions(seed)), workload(this->pool, {.callers = 18, .seed = seed})
+    {
+        this->pool.run(seconds(3));
+        for (std::size_t instance = 0; instance < instanceCount; ++instance)
+            (this->pool.core(instance)->state().isRelaying() ? this->relaying : this->members).push_back(instance);
+    }
+
+    void load()
+    {
+        this->end = this->pool.now() + seconds(12);
+        this->workload.start(this->end);
+    }
+    void finish()
+    {
+        this->pool.run(seconds(20));
+        EXPECT_EQ(joined(findViolations(this->pool.group().history(), this->workload)), "");
+        EXPECT_EQ(this->workload.unanswered(), 0U);
+    }
+    /// A member to which the instance has links; the one at which it has work under way, if there is one.
+    [[nodiscard]] std::size_t memberOf(std::size_t instance) const
+    {
+        std::size_t found = instanceCount;
+        bool busy = false;
+        this->pool.core(instance)->state().servers.forEach([&](ServerId, const ServerRow &row) {
+            if (!row.isMember || row.links.empty() || busy)
+                return;
+            busy = row.running > 0;
+            found = std::stoul(row.entry.id.substr(1));
+        });
+        return found;
+    }
+
+    VirtualPool pool;
+    PoolWorkload workload;
+    std::vector<std::size_t> members;
+    std::vector<std::size_t> relaying;
+    TimePoint end{0};
+};
+
+std::size_t linksToServers(const PoolCore &core)
+{
+    std::size_t links = 0;
+    core.state().servers.forEach([&](ServerId, const ServerRow &row) { links += row.isMember ? 0 : row.links.size(); });
+    return links;
+}
+
+// Guards against a fleet that is larger than a server's connections wearing them out, or not serving at some instances.
+TEST(Relay, FewMembersHoldTheConnectionsOfALargeFleet)
+{
+    RelayedPool run;
+    EXPECT_EQ(run.members.size(), 3U);
+    run.load();
+    run.pool.run(seconds(6));
+    for (const std::size_t instance : run.relaying)
+        EXPECT_EQ(linksToServers(*run.pool.core(instance)), 0U);
+    for (std::size_t server = 0; server < run.pool.group().size(); ++server)
+        EXPECT_LE(run.pool.group().connectionCount(server), run.pool.group().settings().connectionLimit);
+    run.finish();
+    const auto &all = run.workload.operations();
+    EXPECT_TRUE(std::all_of(all.begin(), all.end(), [](const PoolOperation &entry) { return entry.answered; }));
+}
+
+// Guards against a relayed session missing its own commit at a replica that lags.
+TEST(Relay, SessionSeesItsOwnCommitsThroughAMember)
+{
+    RelayedPool run;
+    run.pool.group().setApplyLag(1, milliseconds(800));
+    run.pool.group().setApplyLag(2, milliseconds(800));
+    run.load();
+    run.finish();
+}
+
+// Guards against values or prepared statements of one relayed session being used for another on the same link.
+TEST(Relay, SessionStateStaysWithItsSession)
+{
+    RelayedPool run;
+    const std::size_t instance = run.relaying.front();
+    const auto first = *run.pool.openCaller(instance, VirtualPool::ownRoute);
+    const auto second = *run.pool.openCaller(instance, VirtualPool::ownRoute);
+    runStatement(run.pool, first, StatementKind::SetValue, "s1", "SET who first", "who", "first");
+    EXPECT_FALSE(runStatement(run.pool, first, StatementKind::Read, "r1", "READ 1a4").error);
+    EXPECT_FALSE(runStatement(run.pool, second, StatementKind::Read, "r2", "READ 1a4").error);
+    const auto &history = run.pool.group().history();
+    EXPECT_EQ(joined(history.misuse), "");
+    EXPECT_EQ(runStatement(run.pool, second, StatementKind::Execute, "e1", "EXECUTE p a", "p", "a").error->code,
+              OutcomeCode::UnknownName);
+}
+
+// Guards against a single write being promised not to have run, when the member that ran it has ended.
+TEST(Relay, WriteAtAMemberThatEndsIsInDoubt)
+{
+    RelayedPool run;
+    const std::size_t instance = run.relaying.front();
+    const auto writer = *run.pool.openCaller(instance, VirtualPool::primaryRoute);
+    EXPECT_FALSE(runStatement(run.pool, writer, StatementKind::Write, "w1", "WRITE 1a5 x").error);
+    run.pool.send(writer, Statement{.kind = StatementKind::Write, .id = "w2", .text = "WRITE 1a5 y"});
+    run.pool.run(milliseconds(4));
+    const std::size_t member = run.memberOf(instance);
+    ASSERT_LT(member, instanceCount);
+    run.pool.killInstance(member);
+    run.pool.run(seconds(2));
+    ASSERT_EQ(run.pool.caller(writer).replies.size(), 2U);
+    ASSERT_TRUE(run.pool.caller(writer).replies.back().error);
+    EXPECT_EQ(run.pool.caller(writer).replies.back().error->code, OutcomeCode::InDoubt);
+    // The next operation goes to another member.
+    EXPECT_FALSE(runStatement(run.pool, writer, StatementKind::Write, "w3", "WRITE 1a6 z").error);
+}
+
+// Guards against a transaction whose commit was never sent being left in doubt when its member ends.
+TEST(Relay, OpenTransactionAtAMemberThatEndsIsAborted)
+{
+    RelayedPool run;
+    const std::size_t instance = run.relaying.front();
+    const auto caller = *run.pool.openCaller(instance, VirtualPool::primaryRoute);
+    runStatement(run.pool, caller, StatementKind::Begin, "b1", "BEGIN");
+    EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Write, "w1", "WRITE 1a4 x").error);
+    const std::size_t member = run.memberOf(instance);
+    ASSERT_LT(member, instanceCount);
+    run.pool.killInstance(member);
+    run.pool.run(milliseconds(20));
+    const CallerReply reply = runStatement(run.pool, caller, StatementKind::Commit, "c1", "COMMIT");
+    ASSERT_TRUE(reply.error);
+    EXPECT_EQ(reply.error->code, OutcomeCode::Aborted);
+    EXPECT_EQ(reply.state, SessionState::Idle);
+}
+
+// Guards against a planned stop of a member failing work that other instances relay to it.
+TEST(Relay, PlannedStopOfAMemberFailsNothing)
+{
+    RelayedPool run;
+    run.load();
+    run.pool.run(seconds(2));
+    const std::size_t member = run.members.front();
+    run.pool.requestStop(member);
+    run.pool.run(seconds(8));
+    EXPECT_EQ(run.pool.core(member), nullptr);
+    run.pool.startInstance(member);
+    run.finish();
+    // Sessions at the member itself end with it; those of the others do not notice.
+    const auto &all = run.workload.operations();
+    const auto failed = std::count_if(all.begin(), all.end(), [](const PoolOperation &entry) {
+        return entry.error && entry.error != OutcomeCode::Busy;
+    });
+    EXPECT_EQ(failed, 0);
+}
+
+// Guards against the place of a member that has left staying empty.
+TEST(Relay, AnotherInstanceTakesThePlaceOfAMemberThatLeft)
+{
+    RelayedPool run;
+    const std::size_t member = run.members.front();
+    run.pool.requestStop(member);
+    run.pool.run(seconds(8));
+    std::size_t members = 0;
+    for (std::size_t instance = 0; instance < instanceCount; ++instance)
+        members += run.pool.core(instance) != nullptr && !run.pool.core(instance)->state().isRelaying() ? 1 : 0;
+    EXPECT_EQ(members, 3U);
+    run.pool.startInstance(member);
+    run.pool.run(seconds(2));
+    EXPECT_TRUE(run.pool.core(member)->state().isRelaying());
+}
+
+// Guards against work waiting for a member whose connections are silent when others are there.
+TEST(Relay, SilentMemberIsLeftForAnother)
+{
+    RelayedPool run;
+    const std::size_t instance = run.relaying.front();
+    const auto caller = *run.pool.openCaller(instance, VirtualPool::boundedRoute);
+    EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Read, "r1", "READ 1a4").error);
+    run.pool.cutInstances(instance, run.memberOf(instance), true);
+    EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Read, "r2", "READ 1a4").error);
+    const TimePoint before = run.pool.now();
+    EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Read, "r3", "READ 1a4").error);
+    EXPECT_LT(run.pool.now() - before, milliseconds(200));
+}
+
+// Guards against work that was meant for an instance that is gone running at another one with its address.
+TEST(Relay, MemberRefusesALinkThatIsMeantForAnother)
+{
+    PoolCore core(PoolOptions{.instance = "i1", .relayAddress = "relay:1"});
+    core.start(seconds(1), 1);
+    const SessionId session = core.callerConnected(seconds(1));
+    core.relayOpens(seconds(1), session, "i2");
+    const PoolActions actions = core.takeActions();
+    const auto refusal = std::find_if(actions.begin(), actions.end(), [](const PoolAction &action) {
+        return std::holds_alternative<RefuseCaller>(action);
+    });
+    ASSERT_NE(refusal, actions.end());
+    EXPECT_EQ(std::get<RefuseCaller>(*refusal).error.code, OutcomeCode::Misrouted);
+}
+
+// Guards against a caller choosing its own route or clearing a shared connection with the words between instances.
+TEST(Relay, CallersCannotUseTheWordsBetweenInstances)
+{
+    RelayedPool run;
+    const auto caller = *run.pool.openCaller(run.members.front(), VirtualPool::boundedRoute);
+    for (const StatementKind kind : {StatementKind::UseRoute, StatementKind::ResetSession})
+        EXPECT_EQ(runStatement(run.pool, caller, kind, "x", "ROUTE {}", {}, "{}").error->code, OutcomeCode::Malformed);
+}
+
+// Guards against a route that arrives changed at the member.
+TEST(Relay, RelayedRouteSurvivesItsText)
+{
+    rc::check([] {
+        RelayedRoute sent{
+            .route = Route{.name = *rc::gen::string<std::string>(),
+                           .database = *rc::gen::string<std::string>(),
+                           .service = *rc::gen::string<std::string>(),
+                           .consistency = *rc::gen::element(ReadConsistency::Primary, ReadConsistency::BoundedStale,
+                                                            ReadConsistency::ReadYourWrites),
+                           .maxStaleness = Duration(*rc::gen::positive<std::int64_t>()),
+                           .statementTimeout = Duration(*rc::gen::positive<std::int64_t>()),
+                           .priority = *rc::gen::arbitrary<std::uint32_t>(),
+                           .version = *rc::gen::arbitrary<std::uint64_t>()}};
+        // Names come from JSON, which holds text only.
+        RC_PRE(std::all_of(sent.route.name.begin(), sent.route.name.end(), [](char letter) { return letter > 0; }));
+        RC_PRE(std::all_of(sent.route.database.begin(), sent.route.database.end(),
+                           [](char letter) { return letter > 0; }));
+        RC_PRE(
+            std::all_of(sent.route.service.begin(), sent.route.service.end(), [](char letter) { return letter > 0; }));
+        if (*rc::gen::arbitrary<bool>())
+            sent.mark = LogPosition{.term = *rc::gen::arbitrary<std::uint64_t>(),
+                                    .position = *rc::gen::arbitrary<std::uint64_t>()};
+        const std::string text = sent.toText();
+        RC_ASSERT(text.find('\n') == std::string::npos && text.find('\r') == std::string::npos);
+        const auto received = RelayedRoute::fromText(text);
+        RC_ASSERT(received.has_value());
+        RC_ASSERT(received->toText() == text);
+        RC_ASSERT(received->mark == sent.mark);
+    });
+    EXPECT_FALSE(RelayedRoute::fromText("{\"name\":1}"));
+    EXPECT_FALSE(RelayedRoute::fromText("no table"));
+}
+
+class RelayedFaults : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against any of the rules being broken by faults that overlap while work is relayed.
+TEST_P(RelayedFaults, KeepAllRules)
+{
+    EXPECT_EQ(joined(runRandomFaults(GetParam(), largeFleetOptions(GetParam())).violations), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RelayedFaults, testing::Range<std::uint64_t>(1, 61));
+
+} // namespace
+
+} // namespace Jujubekeel
