A missing proof is none, the first proof comes at once, relays outlast members

Cause 1 (safety): the time 0 stood for "no proof", and the age of a proof was counted against the boot-time clock. On a machine that has booted less than a lease ago (6 s) an instance without any proof believed its primary. Found by the test of cause 2, which passed when it should not. PoolWorld::hasProof and LeadershipSystem::isInformed now ask whether there is one. Cause 2: an instance that registers had its first proof only when the next watch, held for 1 s, ended. Watches are now held for 60 ms until then. Change: the wait that the member may use is added to the deadline; work that a member has refused after its full wait is not offered to another; instances that relay do not need to know the service's servers. Tests (failed first): NoProofIsNoProofWhenTheClockIsYoung, RestartedInstanceHasItsFirstProofSoon.

--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -490,6 +490,11 @@
     return this->options.rankDelay * this->rank(service);
 }
 
+bool LeadershipSystem::isInformed() const
+{
+    return this->evidenceAt.count() != 0 && this->world.now - this->evidenceAt <= this->options.knowledgeLimit;
+}
+
 bool LeadershipSystem::shouldReplace(ServiceId id, bool &planned) const
 {
     const ServiceRow &service = this->world.services.at(id);
@@ -497,7 +502,7 @@
     if (!this->registered || this->world.stopping || service.primaryId.empty())
         return false;
     // Without the store nothing can be announced, and what is known may be out of date.
-    if (this->world.now - this->evidenceAt > this->options.knowledgeLimit)
+    if (!this->isInformed())
         return false;
     if (service.changing) {
         const FleetView::Record *known = this->view.record(service.name);
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -47,10 +47,17 @@
     void unregister();
 
     [[nodiscard]] const FleetView &fleet() const { return this->view; }
-    /// Newest proof that the store still shows what this instance knows.
+    /// Newest proof that the store still shows what this instance knows; 0: there is none.
     [[nodiscard]] TimePoint provedAt() const { return this->evidenceAt; }
+    /// That proof is young enough to replace a primary on.
+    [[nodiscard]] bool isInformed() const;
     /// The primary has to be replaced now, and it is this instance's turn. \a planned: it still answers.
     [[nodiscard]] bool shouldReplace(ServiceId service, bool &planned) const;
+    /// Registered, or about to be, and without a proof that may be acted on.
+    [[nodiscard]] bool awaitsProof() const
+    {
+        return this->registered ? this->evidenceAt.count() == 0 : this->writeCall != 0 && !this->unregistering;
+    }
     [[nodiscard]] bool isUnregistered() const { return this->unregistered; }
 
 private:
--- a/src/leadership/promotionsystem.cpp
+++ b/src/leadership/promotionsystem.cpp
@@ -411,7 +411,7 @@
 void PromotionSystem::name(ServiceId id, Replacement &replacement)
 {
     // An instance that was suspended may have been replaced as the holder meanwhile.
-    if (this->world.now - this->leadership.provedAt() > this->options.knowledgeLimit)
+    if (!this->leadership.isInformed())
         return;
     replacement.call = this->world.takeCall();
     this->world.emit(NamePrimary{.call = replacement.call,
--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -41,7 +41,10 @@
 ServiceId DispatchSystem::serviceOf(const SessionRow &session) const
 {
     const auto found = this->world.serviceByName.find(session.route->service);
-    return found == this->world.serviceByName.end() ? ServiceId{} : found->second;
+    if (found != this->world.serviceByName.end())
+        return found->second;
+    // Members know the servers.
+    return this->world.isRelaying() ? this->world.relayService : ServiceId{};
 }
 
 std::string DispatchSystem::describePrimary(const SessionRow &session) const
@@ -62,7 +65,9 @@
     else if (primary->unreachableSince.count() != 0)
         text +=
             ", unreachable for " + std::to_string((this->world.now - primary->unreachableSince).count() / 1000) + " ms";
-    text += ", proof " + std::to_string((this->world.now - service.currentAt).count() / 1000) + " ms old";
+    text += service.currentAt.count() == 0
+                ? ", no proof"
+                : ", proof " + std::to_string((this->world.now - service.currentAt).count() / 1000) + " ms old";
     text += ", links " + std::to_string(primary == nullptr ? 0 : primary->links.size());
     return text + ", waiting " + std::to_string(service.queue.size());
 }
@@ -241,17 +246,25 @@
     if (session.transaction && work.statement.kind != StatementKind::Commit && work.writes)
         session.transaction->wrote = true;
 
-    // A read that nothing depends on yet may be tried elsewhere if its answer is overdue.
-    TimePoint deadline = std::max(work.arrivedAt, this->world.now - session.route->statementTimeout / 2)
-                         + session.route->statementTimeout;
-    const ServerRow &server = this->world.servers.at(link.server);
-    if (!session.transaction && !work.writes && work.attempts == 1) {
-        // A member may let the work wait as long as this instance would.
-        const Duration patience = server.isMember ? session.route->statementTimeout / 2
-                                                  : std::max(slowReadLeast, server.responseTime * slowReadFactor);
-        deadline = std::min(deadline, this->world.now + patience);
+    this->links.setDeadline(linkId, this->answerDeadline(session, this->world.servers.at(link.server)));
+}
+
+TimePoint DispatchSystem::answerDeadline(const SessionRow &session, const ServerRow &server) const
+{
+    const PendingWork &work = *session.work;
+    const PoolOptions &options = this->world.options;
+    const Duration timeout = session.route->statementTimeout;
+    const bool repeatable = !session.transaction && !work.writes && work.attempts == 1;
+    if (server.isMember) {
+        // The member may let the work wait before it runs, and answers in time then.
+        const Duration wait = work.needsPrimary ? options.primaryWait : options.queueWait;
+        return this->world.now + wait + (repeatable ? timeout / 2 : timeout);
     }
-    this->links.setDeadline(linkId, deadline);
+    const TimePoint deadline = std::max(work.arrivedAt, this->world.now - timeout / 2) + timeout;
+    // A read that nothing depends on yet may be tried elsewhere if its answer is overdue.
+    if (!repeatable)
+        return deadline;
+    return std::min(deadline, this->world.now + std::max(slowReadLeast, server.responseTime * slowReadFactor));
 }
 
 void DispatchSystem::requeue(SessionId id, std::optional<OutcomeError> error)
@@ -260,16 +273,17 @@
     PendingWork &work = *session.work;
     work.lastError = std::move(error);
     work.withheld.reset();
-    const bool relayedTooLong = this->world.isRelaying() && this->world.now >= work.giveUpAt;
-    if (work.attempts >= attemptLimit || relayedTooLong) {
+    if (work.attempts >= attemptLimit) {
         this->finishWithError(id, OutcomeCode::Busy, work.lastError ? work.lastError->text : "no server could run it",
                               SessionState::Failed);
         return;
     }
     // Every server has refused: all may be asked again after a pause.
     const ServiceId serviceId = this->serviceOf(session);
-    const bool allRefused = work.needsPrimary || !serviceId.isValid()
-                            || work.excluded.size() >= this->world.services.at(serviceId).servers.size();
+    const auto serverCount = [&] { return this->world.services.at(serviceId).servers.size(); };
+    const bool allRefused = this->world.isRelaying()
+                                ? work.excluded.size() >= this->world.memberById.size()
+                                : work.needsPrimary || !serviceId.isValid() || work.excluded.size() >= serverCount();
     if (allRefused) {
         work.excluded.clear();
         this->enqueue(id);
@@ -308,17 +322,22 @@
 
 void DispatchSystem::drain(ServiceId serviceId)
 {
-    if (serviceId == this->world.relayService) {
-        // A member runs the work of every service.
-        std::vector<ServiceId> waitingServices;
-        this->world.services.forEach([&](ServiceId id, const ServiceRow &service) {
-            if (!service.queue.empty())
-                waitingServices.push_back(id);
-        });
-        for (const ServiceId id : waitingServices)
-            this->drain(id);
+    if (serviceId != this->world.relayService) {
+        this->drainQueue(serviceId);
         return;
     }
+    // A member runs the work of every service.
+    std::vector<ServiceId> waiting;
+    this->world.services.forEach([&](ServiceId id, const ServiceRow &service) {
+        if (!service.queue.empty())
+            waiting.push_back(id);
+    });
+    for (const ServiceId id : waiting)
+        this->drainQueue(id);
+}
+
+void DispatchSystem::drainQueue(ServiceId serviceId)
+{
     // Work is taken off the list first: an attempt may put it back.
     std::vector<SessionId> waiting;
     waiting.swap(this->world.services.at(serviceId).queue);
--- a/src/pool/dispatchsystem.h
+++ b/src/pool/dispatchsystem.h
@@ -13,6 +13,7 @@
 namespace Jujubekeel {
 
 struct PoolWorld;
+struct ServerRow;
 struct SessionRow;
 
 /// Brings the pending work of sessions to backend servers: queue, choice of the server and the link, what a shared link
@@ -67,7 +68,9 @@
     void describeSession(const SessionRow &session, LinkId link);
     bool sendTo(SessionId session, ServerId server, std::optional<LogPosition> after);
     void sendStatement(SessionId session, LinkId link, std::optional<LogPosition> after);
+    [[nodiscard]] TimePoint answerDeadline(const SessionRow &session, const ServerRow &server) const;
     void prepareLink(SessionRow &session, LinkId link);
+    void drainQueue(ServiceId service);
     void enqueue(SessionId session);
     void removeFromQueue(SessionId session);
 
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -254,6 +254,13 @@
     this->world.timers.add(now + this->world.options.stopDrainDelay, TimerKind::Stop);
 }
 
+FleetPace PoolCore::fleetPace() const
+{
+    if (this->leadership.awaitsProof())
+        return FleetPace::Proof;
+    return this->world.isRelaying() && !this->world.placeVacant ? FleetPace::Gather : FleetPace::Close;
+}
+
 bool PoolCore::isStopped() const
 {
     if (!this->world.stopping)
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -20,6 +20,13 @@
 
 namespace Jujubekeel {
 
+/// How closely an instance follows the fleet's objects.
+enum class FleetPace : std::uint8_t {
+    Proof,  ///< it waits for its first proof of leadership: watches are held for a short time only
+    Close,  ///< each watch that ends proves that no primary is being replaced
+    Gather, ///< it relays: news may gather for a second
+};
+
 /// Decides for one instance what happens to callers' statements. Has no socket, clock, thread or random source: the
 /// shell hands in what has happened with the time, and carries out the actions in order. The same inputs give the same
 /// state. Owned by the shell; one thread.
@@ -71,8 +78,8 @@
     /// New callers may be sent here.
     [[nodiscard]] bool isReady() const;
 
-    /// News of the fleet's objects must reach this instance at once; else they may gather for about a second.
-    [[nodiscard]] bool needsFreshFleet() const { return !this->world.isRelaying() || this->world.placeVacant; }
+    /// How this instance wants to follow the fleet's objects.
+    [[nodiscard]] FleetPace fleetPace() const;
 
     /// Actions since the last call, in order.
     [[nodiscard]] PoolActions takeActions();
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -52,6 +52,12 @@
     PoolActions actions; ///< of the present input
 
     [[nodiscard]] bool isRelaying() const { return this->part == FleetPart::Relaying; }
+    /// There is a proof of the service's leadership that may still be acted on. The clock starts with the machine, so
+    /// that a missing proof must not be taken for one of the time 0.
+    [[nodiscard]] bool hasProof(const ServiceRow &service) const
+    {
+        return service.currentAt.count() != 0 && this->now - service.currentAt < this->options.authorityLease;
+    }
     [[nodiscard]] std::uint64_t takeCall() { return this->nextCall++; }
     template <typename Action>
     void emit(Action action)
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -65,7 +65,7 @@
 {
     const ServiceRow &service = this->world.services.at(serviceId);
     return service.primary == link.server && service.leadership == link.leadership && !service.released
-           && this->world.now - service.currentAt < this->world.options.authorityLease;
+           && this->world.hasProof(service);
 }
 
 void ResultSystem::beginCompleted(LinkId linkId, CompletedExchange &completed)
@@ -147,7 +147,13 @@
         this->dispatch.requeue(id, error);
         return;
     }
+    // A member has let the work wait for as long as it may.
+    const bool waited = this->world.servers.at(server).isMember && this->world.now >= work.giveUpAt;
     this->dispatch.releaseLink(linkId);
+    if (waited) {
+        this->dispatch.finishWithError(id, error.code, error.text, SessionState::Idle);
+        return;
+    }
     switch (error.code) {
     case OutcomeCode::Busy:
     case OutcomeCode::Lagging:
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -319,31 +319,33 @@
 void VirtualPool::watchFleet(std::size_t instance, std::uint64_t boot)
 {
     const TimePoint asked = this->events.now();
+    const PoolCore *watching = this->nodes[instance]->core.get();
+    const bool first = watching != nullptr && watching->fleetPace() == FleetPace::Proof;
+    const Duration wait = first ? this->options.firstProofWait : this->options.watchWait;
     if (!this->storeAnswers(instance)) {
         this->events.add(asked + storeRetry, [this, instance, boot] { this->listFleet(instance, boot); });
         return;
     }
-    const auto answered = [this, instance, boot, asked](const FleetStore::Answer &answer) {
+    const auto answered = [this, instance, boot, asked, wait](const FleetStore::Answer &answer) {
         // An answer that meets an outage is lost; after its time-out the instance lists anew, as the daemon does.
         if (!this->storeAnswers(instance)) {
-            this->events.add(asked + this->options.watchWait + this->options.watchTimeout,
+            this->events.add(asked + wait + this->options.watchTimeout,
                              [this, instance, boot] { this->listFleet(instance, boot); });
             return;
         }
-        this->events.add(this->events.now() + this->options.storeDelay, [this, instance, boot, asked, answer] {
-            this->input(instance, boot, [this, instance, boot, asked, answer](PoolCore &core) {
+        this->events.add(this->events.now() + this->options.storeDelay, [this, instance, boot, asked, wait, answer] {
+            this->input(instance, boot, [this, instance, boot, asked, wait, answer](PoolCore &core) {
                 if (answer.historyGone) {
                     this->listFleet(instance, boot);
                     return;
                 }
                 this->nodes[instance]->knownRevision = answer.revision;
                 // Nothing happened while the watch was held.
-                const bool held = answer.objects.empty() && this->events.now() - asked >= this->options.watchWait;
-                core.fleetNews(this->events.now(),
-                               FleetNews{.objects = answer.objects,
-                                         .revision = answer.revision,
-                                         .askedAt = held ? asked + this->options.watchWait : asked});
-                const bool loosely = !answer.objects.empty() && !core.needsFreshFleet();
+                const bool held = answer.objects.empty() && this->events.now() - asked >= wait;
+                core.fleetNews(this->events.now(), FleetNews{.objects = answer.objects,
+                                                             .revision = answer.revision,
+                                                             .askedAt = held ? asked + wait : asked});
+                const bool loosely = !answer.objects.empty() && core.fleetPace() == FleetPace::Gather;
                 this->at(loosely ? this->options.relayingPause : Duration{0}, [this, instance, boot] {
                     if (this->nodes[instance]->boot == boot)
                         this->watchFleet(instance, boot);
@@ -351,9 +353,9 @@
             });
         });
     };
-    this->events.add(asked + this->options.storeDelay, [this, instance, boot, answered] {
+    this->events.add(asked + this->options.storeDelay, [this, instance, boot, wait, answered] {
         if (this->nodes[instance]->boot == boot)
-            this->fleetStore.watch(this->nodes[instance]->knownRevision, this->options.watchWait, answered);
+            this->fleetStore.watch(this->nodes[instance]->knownRevision, wait, answered);
     });
 }
 
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -30,6 +30,7 @@
     Duration farDelay = std::chrono::milliseconds(3);    ///< one way, between failure domains
     Duration storeDelay = std::chrono::milliseconds(2);  ///< one way
     Duration watchWait = std::chrono::milliseconds(1000);
+    Duration firstProofWait = std::chrono::milliseconds(60); ///< in place of watchWait until there is a proof
     Duration relayingPause =
         std::chrono::milliseconds(1000);                     ///< after news, at instances that do not need them at once
     Duration watchTimeout = std::chrono::milliseconds(1500); ///< beyond the wait of a watch
--- a/tests/pool/poolfleettest.cpp
+++ b/tests/pool/poolfleettest.cpp
@@ -372,6 +372,35 @@
     EXPECT_LE(first->endedAt - back, seconds(2));
 }
 
+// Guards against an instance without any proof believing its primary, because its machine booted less than a lease ago and
+// the boot-time clock is still young.
+TEST(PoolFleet, NoProofIsNoProofWhenTheClockIsYoung)
+{
+    VirtualPool pool({.instances = 1});
+    pool.at(milliseconds(9), [&] { pool.setStoreAvailable(false); });
+    pool.run(milliseconds(40));
+    ASSERT_EQ(pool.countLogs("registered"), 1U);
+    const auto caller = *pool.openCaller(0, VirtualPool::primaryRoute);
+    const CallerReply reply = runStatement(pool, caller, StatementKind::Write, "w1", "WRITE 1a4 x");
+    ASSERT_TRUE(reply.error);
+    EXPECT_EQ(reply.error->code, OutcomeCode::Busy);
+}
+
+// Guards against an instance that has restarted waiting a whole watch for its first proof of leadership, while its callers
+// wait.
+TEST(PoolFleet, RestartedInstanceHasItsFirstProofSoon)
+{
+    VirtualPool pool({.instances = 1});
+    pool.run(seconds(3));
+    pool.killInstance(0);
+    pool.run(seconds(1));
+    pool.startInstance(0);
+    const TimePoint back = pool.now();
+    const auto caller = *pool.openCaller(0, VirtualPool::primaryRoute);
+    EXPECT_FALSE(runStatement(pool, caller, StatementKind::Write, "w1", "WRITE 1a4 x").error);
+    EXPECT_LE(pool.now() - back, milliseconds(500));
+}
+
 // Guards against more connections to a backend server than it accepts.
 TEST(PoolFleet, ConnectionsStayWithinTheLimit)
 {
