Explain a request from log lines; bound the lines about requests

Cause: jujubekeel-ctl explain asks the HTTP interface only, so statements of the platform's routes could not be explained, and nothing told of one that was late; lines about refused statements were not bounded. Failed statements name service, server (the member if relayed) and wait; statements above the route's objective are logged as late.

--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -243,6 +243,8 @@
     }
     this->links.send(linkId, ExchangeKind::Statement, std::move(command));
     work.sent = true;
+    work.sentAt = this->world.now;
+    work.server = this->world.servers.at(link.server).entry.id;
     if (session.transaction && work.statement.kind != StatementKind::Commit && work.writes)
         session.transaction->wrote = true;
 
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -34,6 +34,8 @@
     bool queued = false;    ///< waits for a link
     bool beginSent = false; ///< the link's answer to Begin is outstanding
     bool sent = false;      ///< passed on to a backend server at least once
+    TimePoint sentAt{0};    ///< last passed on
+    std::string server;     ///< the one that was last chosen; a member if the work is relayed
     std::uint32_t attempts = 0;
     std::vector<ServerId> excluded;        ///< servers that could not run it
     std::optional<OutcomeError> lastError; ///< why the last server could not
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -294,24 +294,14 @@
     SessionRow &session = this->world.sessions.at(id);
     assert(session.work);
     const PendingWork &work = *session.work;
-    const Duration took = this->world.now - work.arrivedAt;
     if (reply.error) {
         this->world.counters.add("jujubekeel_pool_refused_total{code=\"" + std::string(codeName(reply.error->code))
                                  + "\"}");
-        this->world.log(LogLevel::Info, "statement-failed",
-                        {{"request", work.statement.id},
-                         {"database", session.database},
-                         {"relayed", session.relayed ? "true" : "false"},
-                         {"route", session.route->name},
-                         {"routeVersion", std::to_string(session.route->version)},
-                         {"code", std::string(codeName(reply.error->code))},
-                         {"reason", reply.error->text},
-                         {"sent", work.sent ? "true" : "false"},
-                         {"primaryState", this->dispatch.describePrimary(session)},
-                         {"attempts", std::to_string(work.attempts)},
-                         {"tookMs", std::to_string(took.count() / 1000)}});
+        this->logStatement(session, "statement-failed", std::string(codeName(reply.error->code)), reply.error->text);
     } else {
         this->world.counters.add("jujubekeel_pool_answered_total");
+        if (this->world.now - work.arrivedAt > session.route->latencyObjective)
+            this->logStatement(session, "statement-late", "ok", "above the route's objective");
     }
 
     const bool commit = work.statement.kind == StatementKind::Commit;
@@ -328,6 +318,28 @@
     this->runNext(id);
 }
 
+void SessionSystem::logStatement(const SessionRow &session, const std::string &event, std::string code,
+                                 const std::string &reason)
+{
+    const auto milliseconds = [](Duration duration) { return std::to_string(duration.count() / 1000); };
+    const PendingWork &work = *session.work;
+    const TimePoint leftQueueAt = work.sent ? work.sentAt : this->world.now;
+    this->world.logRequest(event, {{"request", work.statement.id},
+                                   {"database", session.database},
+                                   {"relayed", session.relayed ? "true" : "false"},
+                                   {"route", session.route->name},
+                                   {"routeVersion", std::to_string(session.route->version)},
+                                   {"service", session.route->service},
+                                   {"code", std::move(code)},
+                                   {"reason", reason},
+                                   {"sent", work.sent ? "true" : "false"},
+                                   {"server", work.server},
+                                   {"primaryState", this->dispatch.describePrimary(session)},
+                                   {"attempts", std::to_string(work.attempts)},
+                                   {"waitedMs", milliseconds(leftQueueAt - work.arrivedAt)},
+                                   {"tookMs", milliseconds(this->world.now - work.arrivedAt)}});
+}
+
 void SessionSystem::checkIdleTransaction(SessionId id)
 {
     SessionRow *session = this->world.sessions.find(id);
--- a/src/pool/sessionsystem.h
+++ b/src/pool/sessionsystem.h
@@ -45,6 +45,7 @@
     void startWork(SessionId session, Statement statement);
     [[nodiscard]] Duration transactionIdleLimit() const;
     [[nodiscard]] bool resolveRoute(SessionId session);
+    void logStatement(const SessionRow &session, const std::string &event, std::string code, const std::string &reason);
     void answer(SessionId session, SessionState state);
     void refuse(SessionId session, OutcomeCode code, std::string text, SessionState state);
     void failInTransaction(SessionId session, OutcomeCode code, std::string text);
--- a/src/programs/jujubekeel-ctl/main.cpp
+++ b/src/programs/jujubekeel-ctl/main.cpp
@@ -1,5 +1,6 @@
 #include "programs/jujubekeel-ctl/commandoutput.h"
 #include "programs/jujubekeel-ctl/fleetcommands.h"
+#include "programs/jujubekeel-ctl/logcommands.h"
 #include "programs/jujubekeel-ctl/rulecommands.h"
 #include "settings/settingsloader.h"
 
@@ -31,6 +32,7 @@
   jujubekeel-ctl rules --settings=FILE [--json]
   jujubekeel-ctl status --settings=FILE [--json]
   jujubekeel-ctl explain REQUESTID --settings=FILE [--json]
+  jujubekeel-ctl explain REQUESTID --log=FILE... [--json]
   jujubekeel-ctl explain (read | write) DATABASE OPERATION --settings=FILE [--json]
   jujubekeel-ctl trace TRACEID --settings=FILE [--json]
   jujubekeel-ctl drain INSTANCE --settings=FILE [--json]
@@ -43,7 +45,7 @@
   rules    Shows the rule set in force and the version on each instance.
   status   Shows instances, databases and backend servers with owner, role, positions and age.
   explain  Shows why a request went where it went, with the rule line and who asked for it; with read or write what
-           each instance would decide now for such a request.
+           each instance would decide now for such a request; with --log from log lines alone.
   trace    Shows the hops of a request on all instances and the time spent in each.
   drain    Starts a planned stop of an instance: it finishes its requests in flight.
 
@@ -54,6 +56,7 @@
                         force nothing is written; without this option the version in force is replaced.
   --wait                Waits until every live instance reports the version.
   --wait-limit=SECONDS  Longest wait, 1 to 3600 [default: 30].
+  --log=FILE            Log of an instance, JSON lines; - is standard input. May be given for several instances.
   --json                Writes JSON instead of tables; errors are JSON objects as well, one a line.
   -h --help             Shows this text.
   --version             Shows the version.
@@ -125,6 +128,9 @@
 
 int run(const Arguments &arguments, const CommandOutput &output)
 {
+    if (const auto &logs = arguments.at("--log"); logs && !logs.asStringList().empty())
+        return explainFromLogs(arguments.at("REQUESTID").asString(), logs.asStringList(), output);
+
     std::optional<ApplyOptions> applyOptions;
     if (arguments.at("apply").asBool()) {
         applyOptions = readApplyOptions(arguments, output);
--- /dev/null
+++ b/tests/observe/logbudgettest.cpp
@@ -0,0 +1,37 @@
+#include "observe/logbudget.h"
+
+#include <gtest/gtest.h>
+
+namespace Jujubekeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against an overload that is made worse by the log lines about it.
+TEST(LogBudget, BoundsTheLinesAndCountsWhatItDrops)
+{
+    LogBudget budget({.linesPerSecond = 50, .burst = 20});
+    std::uint64_t written = 0;
+    for (int step = 0; step < 10000; ++step)
+        written += budget.take(seconds(100) + milliseconds(step)) ? 1 : 0;
+    EXPECT_LE(written, 20U + 10U * 50U);
+    EXPECT_GE(written, 10U * 50U);
+    EXPECT_EQ(budget.takeDropped(), 10000 - written);
+    EXPECT_EQ(budget.takeDropped(), 0U);
+}
+
+// Guards against a quiet time that saves up more than one burst.
+TEST(LogBudget, QuietTimeSavesUpOneBurst)
+{
+    LogBudget budget({.linesPerSecond = 50, .burst = 20});
+    std::uint64_t written = 0;
+    for (int line = 0; line < 100; ++line)
+        written += budget.take(seconds(5000)) ? 1 : 0;
+    EXPECT_EQ(written, 20U);
+}
+
+} // namespace
+
+} // namespace Jujubekeel
