--- a/tests/authority/promotionsystemtest.cpp
+++ b/tests/authority/promotionsystemtest.cpp
@@ -52,6 +52,28 @@
     EXPECT_TRUE(fleet.allKnowPrimary(primary));
 }
 
+// Guards against one promotion following the other while links are unstable: a new primary that falls silent keeps its
+// place for the hold-off.
+TEST(PromotionSystem, SilentNewPrimaryIsKeptForTheHoldOff)
+{
+    CoreFleet fleet;
+    settle(fleet);
+    fleet.kill(0);
+    ASSERT_TRUE(fleet.runUntil(seconds(2), [&] { return fleet.counter("jujubekeel_promotions_finished_total") == 1; }));
+    const int primary = fleet.knownPrimary(0);
+    ASSERT_GT(primary, 0);
+    fleet.restart(0);
+    const std::string silent = "b" + std::to_string(primary);
+    fleet.run(seconds(1));
+    for (const std::string node : {"i0", "i1", "i2", "b0", "b1", "b2"}) {
+        if (node != silent)
+            fleet.cut(node, silent);
+    }
+    fleet.run(seconds(3));
+    EXPECT_EQ(fleet.counter("jujubekeel_promotions_started_total"), 1U);
+    EXPECT_TRUE(fleet.runUntil(seconds(6), [&] { return fleet.counter("jujubekeel_promotions_started_total") > 1; }));
+}
+
 // Guards against replacing a primary that only one proxy, the coordinator, cannot reach.
 TEST(PromotionSystem, PrimaryUnreachableForTheCoordinatorAloneStays)
 {
--- a/tests/pool/poolfleettest.cpp
+++ b/tests/pool/poolfleettest.cpp
@@ -401,6 +401,25 @@
     EXPECT_LE(pool.now() - back, milliseconds(500));
 }
 
+// Guards against reads that wait for positions which a replacement has rolled back: positions of the old primary end with
+// its leadership.
+TEST(PoolFleet, RolledBackPositionsAreNotDemanded)
+{
+    VirtualPool pool({.instances = 1});
+    pool.run(seconds(3));
+    const auto writer = *pool.openCaller(0, VirtualPool::primaryRoute);
+    const auto reader = *pool.openCaller(0, VirtualPool::boundedRoute);
+    pool.group().setReplicationCut(0, true);
+    for (int write = 0; write < 5; ++write)
+        EXPECT_FALSE(
+            runStatement(pool, writer, StatementKind::Write, "w" + std::to_string(write), "WRITE 1a4 x").error);
+    pool.stopServer(0);
+    for (int step = 0; step < 3000 && pool.countLogs("replacement-finished") == 0; ++step)
+        pool.run(milliseconds(1));
+    ASSERT_EQ(pool.countLogs("replacement-finished"), 1U);
+    EXPECT_FALSE(runStatement(pool, reader, StatementKind::Read, "r1", "READ 1a4").error);
+}
+
 // Guards against more connections to a backend server than it accepts.
 TEST(PoolFleet, ConnectionsStayWithinTheLimit)
 {
