--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -1,5 +1,6 @@
 #include "leadership/leadershipsystem.h"
 
+#include "leadership/membershipsystem.h"
 #include "pool/dispatchsystem.h"
 #include "pool/poolworld.h"
 #include "pool/resultsystem.h"
@@ -12,162 +13,23 @@
 namespace Jujubekeel {
 
 LeadershipSystem::LeadershipSystem(PoolWorld &poolWorld, DispatchSystem &dispatchSystem, ResultSystem &resultSystem,
-                                   LeadershipOptions leadershipOptions)
-    : world(poolWorld), dispatch(dispatchSystem), results(resultSystem), options(leadershipOptions)
+                                   MembershipSystem &membershipSystem, LeadershipOptions leadershipOptions)
+    : world(poolWorld), dispatch(dispatchSystem), results(resultSystem), membership(membershipSystem),
+      options(leadershipOptions)
 {
 }
 
-void LeadershipSystem::start(std::uint64_t incarnation)
+void LeadershipSystem::start()
 {
-    this->desired.incarnation = incarnation;
-    this->desired.relayAddress = this->world.options.relayAddress;
-    this->desired.failureDomain = this->world.options.failureDomain;
-    if (this->world.options.relayAddress.empty())
-        this->world.part = FleetPart::Member;
     this->armCheck();
 }
 
-void LeadershipSystem::newsReceived(const FleetNews &news)
+void LeadershipSystem::newsReceived()
 {
-    this->view.apply(news, this->world.now);
-    const FleetView::Member *own = this->view.member(this->world.options.instance);
-    if (own != nullptr)
-        this->ownRevision = std::max(this->ownRevision, own->revision);
-    const bool foreign =
-        own == nullptr ? this->view.revision() >= this->ownRevision
-                       : own->revision >= this->ownRevision && own->record.incarnation != this->desired.incarnation;
-    if (this->registered && foreign) {
-        // Nobody waits for this instance any more.
-        this->registered = false;
-        this->forgetEvidence();
-        this->ownRevision = own == nullptr ? 0 : own->revision;
-    } else if (own == nullptr && !this->registered && this->writeCall == 0) {
-        this->ownRevision = 0;
-    }
-    const auto &members = this->view.members();
-    const auto present = std::count_if(members.begin(), members.end(),
-                                       [](const auto &entry) { return !entry.second.record.isStruckOff(); });
-    this->world.instances = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(present, 1));
-
-    this->acceptEvidence(news.askedAt);
-    this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->refresh(id); });
-    this->publish();
-}
-
-void LeadershipSystem::acceptEvidence(TimePoint askedAt)
-{
-    if (!this->registered || askedAt < this->registeredAt)
-        return;
-    // After a lapse others may have stopped waiting for this instance; it registers anew before it goes on.
-    if (this->evidenceAt.count() != 0 && this->world.now - this->evidenceAt > this->world.options.authorityLease) {
-        this->world.log(LogLevel::Warning, "leadership-lapsed",
-                        {{"ageMs", std::to_string((this->world.now - this->evidenceAt).count() / 1000)}});
-        this->registered = false;
-        this->evidenceAt = TimePoint{0};
-        this->desired.renewals += 1;
-        return;
-    }
-    this->evidenceAt = std::max(this->evidenceAt, askedAt);
-    // From now on this instance can answer for primaries, also to others.
-    this->setPart(FleetPart::Member);
-    if (this->desired.state == MemberState::Joining)
-        this->desired.state = MemberState::Serving;
-}
-
-void LeadershipSystem::forgetEvidence()
-{
-    this->evidenceAt = TimePoint{0};
-    this->world.services.forEach([](ServiceId, ServiceRow &service) { service.currentAt = TimePoint{0}; });
-}
-
-bool LeadershipSystem::writeFinished(const WriteOutcome &outcome)
-{
-    if (outcome.call == 0 || outcome.call != this->writeCall)
-        return false;
-    this->writeCall = 0;
-    if (this->unregistering) {
-        this->unregistered = true;
-        return true;
-    }
-    if (outcome.result == WriteResult::Ok) {
-        this->ownRevision = outcome.revision;
-        if (!this->registered) {
-            this->registered = true;
-            this->world.placeVacant = false;
-            if (!this->world.isRelaying())
-                this->setPart(FleetPart::Member);
-            this->registeredAt = this->world.now;
-            this->world.log(
-                LogLevel::Info, "registered",
-                {{"revision", std::to_string(outcome.revision)}, {"renewals", std::to_string(this->written.renewals)}});
-        }
-    } else {
-        this->written = MemberRecord{};
-        this->writeAgainAt = this->world.now + this->options.writeRetry;
-    }
-    this->publish();
-    return true;
-}
-
-void LeadershipSystem::publish()
-{
-    if (this->view.revision() == 0 || this->writeCall != 0 || this->unregistering)
-        return;
-    if (this->world.now < this->writeAgainAt || (this->registered && this->desired == this->written))
-        return;
-    if (!this->registered && !this->mayRegister()) {
-        if (this->hasOtherMembers())
-            this->setPart(FleetPart::Relaying);
-        return;
-    }
-    this->written = this->desired;
-    this->writeCall = this->world.takeCall();
-    this->world.emit(WriteFleetObject{.call = this->writeCall,
-                                      .name = FleetView::memberName(this->world.options.instance),
-                                      .expectedRevision = this->ownRevision,
-                                      .content = this->written.toText()});
-}
-
-bool LeadershipSystem::mayRegister()
-{
-    const PoolOptions &pool = this->world.options;
-    if (pool.relayAddress.empty() || this->view.member(pool.instance) != nullptr)
-        return true;
-
-    // Each failure domain has its share of the members, so that one that is cut off can serve what it can.
-    const auto limit = this->world.routes ? this->world.routes->smallestConnectionLimit() : std::nullopt;
-    if (!limit)
-        return false;
-    const std::uint32_t shared = *limit > pool.spareConnections ? *limit - pool.spareConnections : 1;
-    const std::uint32_t room = std::clamp(shared / pool.linksPerServer, pool.membersLeast, pool.membersMost);
-    const auto domains = static_cast<std::uint32_t>(std::max<std::size_t>(pool.regionOf.size(), 1));
-    const auto &members = this->view.members();
-    const auto present = std::count_if(members.begin(), members.end(), [&](const auto &entry) {
-        const MemberRecord &record = entry.second.record;
-        return !record.isStruckOff() && record.state != MemberState::Leaving
-               && record.failureDomain == pool.failureDomain;
-    });
-    if (static_cast<std::uint32_t>(present) >= std::max<std::uint32_t>(room / domains, 1)) {
-        this->world.placeVacant = false;
-        return false;
-    }
-    // Instances that see the same vacancy take their turn, so that the first one is known to the others.
-    if (!this->world.placeVacant)
-        this->vacancySince = this->world.now;
-    this->world.placeVacant = true;
-    const std::size_t turn = std::hash<std::string>{}(pool.instance) % this->options.vacancyTurns;
-    const TimePoint due = this->vacancySince + this->options.vacancyStep * static_cast<std::int64_t>(turn);
-    if (this->world.now >= due)
-        return true;
-    this->world.timers.add(due, TimerKind::Vacancy);
-    return false;
-}
-
-void LeadershipSystem::setPart(FleetPart part)
-{
-    this->world.part = part;
-    if (part == FleetPart::Member && this->nextCheck <= this->world.now)
+    if (this->world.part == FleetPart::Member && this->nextCheck <= this->world.now)
         this->armCheck();
+    this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->refresh(id); });
+    this->membership.publish();
 }
 
 void LeadershipSystem::armCheck()
@@ -176,40 +38,6 @@
     this->world.timers.add(this->nextCheck, TimerKind::Leadership);
 }
 
-bool LeadershipSystem::hasOtherMembers() const
-{
-    const auto &members = this->view.members();
-    return std::any_of(members.begin(), members.end(), [this](const auto &entry) {
-        const MemberRecord &record = entry.second.record;
-        return entry.first != this->world.options.instance && !record.isStruckOff()
-               && record.state == MemberState::Serving;
-    });
-}
-
-void LeadershipSystem::announceLeave()
-{
-    this->desired.state = MemberState::Leaving;
-    if (this->registered)
-        this->publish();
-}
-
-void LeadershipSystem::unregister()
-{
-    if (this->unregistering)
-        return;
-    this->unregistering = true;
-    if (this->ownRevision == 0) {
-        this->unregistered = true;
-        return;
-    }
-    this->registered = false;
-    this->forgetEvidence();
-    this->writeCall = this->world.takeCall();
-    this->world.emit(DeleteFleetObject{.call = this->writeCall,
-                                       .name = FleetView::memberName(this->world.options.instance),
-                                       .expectedRevision = this->ownRevision});
-}
-
 void LeadershipSystem::serversChanged()
 {
     this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->refresh(id); });
@@ -217,10 +45,10 @@
 
 void LeadershipSystem::refresh(ServiceId id)
 {
-    if (this->view.revision() == 0)
+    if (this->membership.fleet().revision() == 0)
         return;
     ServiceRow &service = this->world.services.at(id);
-    const FleetView::Record *known = this->view.record(service.name);
+    const FleetView::Record *known = this->membership.fleet().record(service.name);
     if (known != nullptr)
         this->adoptRecord(id, *known);
     else
@@ -235,8 +63,8 @@
         service.missingSince = TimePoint{0};
     else if (service.missingSince.count() == 0)
         service.missingSince = this->world.now;
-    if (!service.changing && this->evidenceAt > service.currentAt) {
-        service.currentAt = this->evidenceAt;
+    if (!service.changing && this->membership.provedAt() > service.currentAt) {
+        service.currentAt = this->membership.provedAt();
         this->results.reviewWithheld(id);
     }
     if (!service.queue.empty())
@@ -283,7 +111,7 @@
     // The holder may be unable to record that it has finished. The declared candidate, if it was a replica at the
     // announcement and now says that it leads, was named for this epoch: nobody names another without a new announcement.
     const ServiceRow &service = this->world.services.at(id);
-    const FleetView::Record *known = this->view.record(service.name);
+    const FleetView::Record *known = this->membership.fleet().record(service.name);
     if (known == nullptr || known->record.epoch != service.epoch)
         return;
     const std::string &candidate = known->record.candidate;
@@ -330,8 +158,7 @@
     service.currentAt = TimePoint{0};
     this->suspicions.erase(service.name);
     this->drainingSince.erase(service.name);
-    this->desired.views.erase(service.name);
-    this->desired.released.erase(service.name);
+    this->membership.clear(service.name);
 }
 
 void LeadershipSystem::releaseIfIdle(ServiceId id)
@@ -351,7 +178,7 @@
 {
     ServiceRow &service = this->world.services.at(id);
     service.released = true;
-    this->desired.released[service.name] = service.epoch;
+    this->membership.setReleased(service.name, service.epoch);
     if (this->world.servers.contains(service.primary)) {
         // What still runs there can no longer be believed.
         const std::vector<LinkId> open = this->world.servers.at(service.primary).links;
@@ -379,7 +206,7 @@
         this->releaseIfIdle(id);
         this->checkView(id);
     }
-    this->publish();
+    this->membership.publish();
 }
 
 bool LeadershipSystem::isUnreachable(const ServiceRow &service) const
@@ -416,7 +243,7 @@
     const ServiceRow &service = this->world.services.at(id);
     if (service.primaryId.empty() || service.changing) {
         this->suspicions.erase(service.name);
-        this->desired.views.erase(service.name);
+        this->membership.setView(service.name, std::nullopt);
         return;
     }
     const ServerRow *primary = this->world.servers.find(service.primary);
@@ -431,7 +258,7 @@
     // An own view is published if the primary seems unreachable to this instance, or to another one.
     const bool own = this->isUnreachable(service);
     bool others = false;
-    for (const auto &[instance, member] : this->view.members()) {
+    for (const auto &[instance, member] : this->membership.fleet().members()) {
         const auto seen = member.record.views.find(service.name);
         others = others
                  || (instance != this->world.options.instance && seen != member.record.views.end()
@@ -439,7 +266,7 @@
     }
     if (!own && !others) {
         this->suspicions.erase(service.name);
-        this->desired.views.erase(service.name);
+        this->membership.setView(service.name, std::nullopt);
         return;
     }
     Suspicion &suspicion =
@@ -449,12 +276,12 @@
                         {{"service", service.name}, {"primary", service.primaryId}});
     suspicion.own = own;
     if (own) {
-        this->desired.views[service.name] = PrimaryView::Unreachable;
+        this->membership.setView(service.name, PrimaryView::Unreachable);
     } else if (primary != nullptr && primary->lastAnswerAt > suspicion.since) {
-        this->desired.views[service.name] = PrimaryView::Reachable;
+        this->membership.setView(service.name, PrimaryView::Reachable);
     } else {
         // An instance without traffic does not know; the question tells.
-        this->desired.views.erase(service.name);
+        this->membership.setView(service.name, std::nullopt);
         this->dispatch.probePrimary(id);
     }
 }
@@ -463,19 +290,19 @@
 {
     // The instance that replaced a primary last goes first, so that the duty rarely changes hands; then those that have
     // just shown that they live; then the others by name.
-    const std::string holder = this->view.lastHolder();
+    const std::string holder = this->membership.fleet().lastHolder();
     const std::string &self = this->world.options.instance;
     const auto order = [&](const std::string &instance, const FleetView::Member &member) {
         if (instance == holder)
             return 0;
         return member.record.views.contains(service) ? 1 : 2;
     };
-    const FleetView::Member *own = this->view.member(self);
+    const FleetView::Member *own = this->membership.fleet().member(self);
     if (own == nullptr)
-        return static_cast<std::uint32_t>(this->view.members().size());
+        return static_cast<std::uint32_t>(this->membership.fleet().members().size());
     const int ownOrder = order(self, *own);
     std::uint32_t before = 0;
-    for (const auto &[instance, member] : this->view.members()) {
+    for (const auto &[instance, member] : this->membership.fleet().members()) {
         if (member.record.isStruckOff())
             continue;
         const int other = order(instance, member);
@@ -490,22 +317,17 @@
     return this->options.rankDelay * this->rank(service);
 }
 
-bool LeadershipSystem::isInformed() const
-{
-    return this->evidenceAt.count() != 0 && this->world.now - this->evidenceAt <= this->options.knowledgeLimit;
-}
-
 bool LeadershipSystem::shouldReplace(ServiceId id, bool &planned) const
 {
     const ServiceRow &service = this->world.services.at(id);
     planned = !this->isUnreachable(service);
-    if (!this->registered || this->world.stopping || service.primaryId.empty())
+    if (!this->membership.isRegistered() || this->world.stopping || service.primaryId.empty())
         return false;
     // Without the store nothing can be announced, and what is known may be out of date.
-    if (!this->isInformed())
+    if (!this->membership.isInformed())
         return false;
     if (service.changing) {
-        const FleetView::Record *known = this->view.record(service.name);
+        const FleetView::Record *known = this->membership.fleet().record(service.name);
         return known != nullptr && known->record.changing
                && this->world.now - known->seenAt >= this->options.takeOverAfter + this->dueAfter(service.name);
     }
@@ -523,8 +345,8 @@
         if (seen != record.views.end())
             balance += seen->second == PrimaryView::Unreachable ? 1 : -1;
     };
-    count(this->desired);
-    for (const auto &[instance, member] : this->view.members()) {
+    count(this->membership.own());
+    for (const auto &[instance, member] : this->membership.fleet().members()) {
         if (instance != this->world.options.instance)
             count(member.record);
     }
--- /dev/null
+++ b/src/leadership/membershipsystem.cpp
@@ -0,0 +1,217 @@
+#include "leadership/membershipsystem.h"
+
+#include "pool/poolworld.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+
+namespace Jujubekeel {
+
+MembershipSystem::MembershipSystem(PoolWorld &poolWorld, LeadershipOptions leadershipOptions)
+    : world(poolWorld), options(leadershipOptions)
+{
+}
+
+void MembershipSystem::start(std::uint64_t incarnation)
+{
+    this->desired.incarnation = incarnation;
+    this->desired.relayAddress = this->world.options.relayAddress;
+    this->desired.failureDomain = this->world.options.failureDomain;
+    if (this->world.options.relayAddress.empty())
+        this->world.part = FleetPart::Member;
+}
+
+void MembershipSystem::newsReceived(const FleetNews &news)
+{
+    this->view.apply(news, this->world.now);
+    const FleetView::Member *own = this->view.member(this->world.options.instance);
+    if (own != nullptr)
+        this->ownRevision = std::max(this->ownRevision, own->revision);
+    const bool foreign =
+        own == nullptr ? this->view.revision() >= this->ownRevision
+                       : own->revision >= this->ownRevision && own->record.incarnation != this->desired.incarnation;
+    if (this->registered && foreign) {
+        // Nobody waits for this instance any more.
+        this->registered = false;
+        this->forgetEvidence();
+        this->ownRevision = own == nullptr ? 0 : own->revision;
+    } else if (own == nullptr && !this->registered && this->writeCall == 0) {
+        this->ownRevision = 0;
+    }
+    const auto &members = this->view.members();
+    const auto present = std::count_if(members.begin(), members.end(),
+                                       [](const auto &entry) { return !entry.second.record.isStruckOff(); });
+    this->world.instances = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(present, 1));
+
+    this->acceptEvidence(news.askedAt);
+}
+
+void MembershipSystem::acceptEvidence(TimePoint askedAt)
+{
+    if (!this->registered || askedAt < this->registeredAt)
+        return;
+    // After a lapse others may have stopped waiting for this instance; it registers anew before it goes on.
+    if (this->evidenceAt.count() != 0 && this->world.now - this->evidenceAt > this->world.options.authorityLease) {
+        this->world.log(LogLevel::Warning, "leadership-lapsed",
+                        {{"ageMs", std::to_string((this->world.now - this->evidenceAt).count() / 1000)}});
+        this->registered = false;
+        this->evidenceAt = TimePoint{0};
+        this->desired.renewals += 1;
+        return;
+    }
+    this->evidenceAt = std::max(this->evidenceAt, askedAt);
+    // From now on this instance can answer for primaries, also to others.
+    this->world.part = FleetPart::Member;
+    if (this->desired.state == MemberState::Joining)
+        this->desired.state = MemberState::Serving;
+}
+
+void MembershipSystem::forgetEvidence()
+{
+    this->evidenceAt = TimePoint{0};
+    this->world.services.forEach([](ServiceId, ServiceRow &service) { service.currentAt = TimePoint{0}; });
+}
+
+bool MembershipSystem::writeFinished(const WriteOutcome &outcome)
+{
+    if (outcome.call == 0 || outcome.call != this->writeCall)
+        return false;
+    this->writeCall = 0;
+    if (this->unregistering) {
+        this->unregistered = true;
+        return true;
+    }
+    if (outcome.result == WriteResult::Ok) {
+        this->ownRevision = outcome.revision;
+        if (!this->registered) {
+            this->registered = true;
+            this->world.placeVacant = false;
+            if (!this->world.isRelaying())
+                this->world.part = FleetPart::Member;
+            this->registeredAt = this->world.now;
+            this->world.log(
+                LogLevel::Info, "registered",
+                {{"revision", std::to_string(outcome.revision)}, {"renewals", std::to_string(this->written.renewals)}});
+        }
+    } else {
+        this->written = MemberRecord{};
+        this->writeAgainAt = this->world.now + this->options.writeRetry;
+    }
+    this->publish();
+    return true;
+}
+
+void MembershipSystem::publish()
+{
+    if (this->view.revision() == 0 || this->writeCall != 0 || this->unregistering)
+        return;
+    if (this->world.now < this->writeAgainAt || (this->registered && this->desired == this->written))
+        return;
+    if (!this->registered && !this->mayRegister()) {
+        if (this->hasOtherMembers())
+            this->world.part = FleetPart::Relaying;
+        return;
+    }
+    this->written = this->desired;
+    this->writeCall = this->world.takeCall();
+    this->world.emit(WriteFleetObject{.call = this->writeCall,
+                                      .name = FleetView::memberName(this->world.options.instance),
+                                      .expectedRevision = this->ownRevision,
+                                      .content = this->written.toText()});
+}
+
+bool MembershipSystem::mayRegister()
+{
+    const PoolOptions &pool = this->world.options;
+    if (pool.relayAddress.empty() || this->view.member(pool.instance) != nullptr)
+        return true;
+
+    // Each failure domain has its share of the members, so that one that is cut off can serve what it can.
+    const auto limit = this->world.routes ? this->world.routes->smallestConnectionLimit() : std::nullopt;
+    if (!limit)
+        return false;
+    const std::uint32_t shared = *limit > pool.spareConnections ? *limit - pool.spareConnections : 1;
+    const std::uint32_t room = std::clamp(shared / pool.linksPerServer, pool.membersLeast, pool.membersMost);
+    const auto domains = static_cast<std::uint32_t>(std::max<std::size_t>(pool.regionOf.size(), 1));
+    const auto &members = this->view.members();
+    const auto present = std::count_if(members.begin(), members.end(), [&](const auto &entry) {
+        const MemberRecord &record = entry.second.record;
+        return !record.isStruckOff() && record.state != MemberState::Leaving
+               && record.failureDomain == pool.failureDomain;
+    });
+    if (static_cast<std::uint32_t>(present) >= std::max<std::uint32_t>(room / domains, 1)) {
+        this->world.placeVacant = false;
+        return false;
+    }
+    // Instances that see the same vacancy take their turn, so that the first one is known to the others.
+    if (!this->world.placeVacant)
+        this->vacancySince = this->world.now;
+    this->world.placeVacant = true;
+    const std::size_t turn = std::hash<std::string>{}(pool.instance) % this->options.vacancyTurns;
+    const TimePoint due = this->vacancySince + this->options.vacancyStep * static_cast<std::int64_t>(turn);
+    if (this->world.now >= due)
+        return true;
+    this->world.timers.add(due, TimerKind::Vacancy);
+    return false;
+}
+
+bool MembershipSystem::hasOtherMembers() const
+{
+    const auto &members = this->view.members();
+    return std::any_of(members.begin(), members.end(), [this](const auto &entry) {
+        const MemberRecord &record = entry.second.record;
+        return entry.first != this->world.options.instance && !record.isStruckOff()
+               && record.state == MemberState::Serving;
+    });
+}
+
+void MembershipSystem::announceLeave()
+{
+    this->desired.state = MemberState::Leaving;
+    if (this->registered)
+        this->publish();
+}
+
+void MembershipSystem::unregister()
+{
+    if (this->unregistering)
+        return;
+    this->unregistering = true;
+    if (this->ownRevision == 0) {
+        this->unregistered = true;
+        return;
+    }
+    this->registered = false;
+    this->forgetEvidence();
+    this->writeCall = this->world.takeCall();
+    this->world.emit(DeleteFleetObject{.call = this->writeCall,
+                                       .name = FleetView::memberName(this->world.options.instance),
+                                       .expectedRevision = this->ownRevision});
+}
+
+bool MembershipSystem::isInformed() const
+{
+    return this->evidenceAt.count() != 0 && this->world.now - this->evidenceAt <= this->options.knowledgeLimit;
+}
+
+void MembershipSystem::setView(const std::string &service, std::optional<PrimaryView> primaryView)
+{
+    if (primaryView)
+        this->desired.views[service] = *primaryView;
+    else
+        this->desired.views.erase(service);
+}
+
+void MembershipSystem::setReleased(const std::string &service, std::uint64_t epoch)
+{
+    this->desired.released[service] = epoch;
+}
+
+void MembershipSystem::clear(const std::string &service)
+{
+    this->desired.views.erase(service);
+    this->desired.released.erase(service);
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/leadership/membershipsystem.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "leadership/fleetmessages.h"
+#include "leadership/fleetview.h"
+#include "leadership/leadershipoptions.h"
+#include "leadership/memberrecord.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Jujubekeel {
+
+struct PoolWorld;
+
+/// Decides this instance's part in the fleet, keeps its member object, and knows how old its knowledge of the fleet's objects
+/// is.
+///
+/// A member's proof is the time at which the store still showed what it knows. A proof counts only while the instance is
+/// registered: only then whoever replaces a primary waits for it. Owned by PoolCore.
+class MembershipSystem final
+{
+public:
+    MembershipSystem(PoolWorld &poolWorld, LeadershipOptions leadershipOptions);
+
+    void start(std::uint64_t incarnation);
+    void newsReceived(const FleetNews &news);
+    /// Returns true if the outcome belongs to a write of this system.
+    bool writeFinished(const WriteOutcome &outcome);
+    /// Registers this instance if it may, and brings its member object up to date.
+    void publish();
+    /// Planned stop: others relay no new work to this instance.
+    void announceLeave();
+    /// Planned stop: unregisters once nothing runs any more.
+    void unregister();
+
+    // What the member object says of primaries; written by the next publish().
+    void setView(const std::string &service, std::optional<PrimaryView> primaryView);
+    void setReleased(const std::string &service, std::uint64_t epoch);
+    void clear(const std::string &service);
+    [[nodiscard]] const MemberRecord &own() const { return this->desired; }
+
+    [[nodiscard]] const FleetView &fleet() const { return this->view; }
+    [[nodiscard]] bool isRegistered() const { return this->registered; }
+    [[nodiscard]] bool isUnregistered() const { return this->unregistered; }
+    /// Registered, or about to be, and without a proof that may be acted on.
+    [[nodiscard]] bool awaitsProof() const
+    {
+        return this->registered ? this->evidenceAt.count() == 0 : this->writeCall != 0 && !this->unregistering;
+    }
+    /// Newest proof that the store still shows what this instance knows; 0: there is none.
+    [[nodiscard]] TimePoint provedAt() const { return this->evidenceAt; }
+    /// That proof is young enough to replace a primary on.
+    [[nodiscard]] bool isInformed() const;
+
+private:
+    void acceptEvidence(TimePoint askedAt);
+    /// What was proved so far must not be acted on any more.
+    void forgetEvidence();
+    /// Fleets with more instances than a backend server has connections: only some of each failure domain register.
+    [[nodiscard]] bool mayRegister();
+    [[nodiscard]] bool hasOtherMembers() const;
+
+    PoolWorld &world;
+    LeadershipOptions options;
+    FleetView view;
+    MemberRecord desired; ///< what the own member object should say
+    MemberRecord written; ///< what it says as far as is known
+    bool registered = false;
+    bool unregistering = false;
+    bool unregistered = false;
+    std::uint64_t writeCall = 0; ///< under way; 0: none
+    std::uint64_t ownRevision = 0;
+    TimePoint registeredAt{0};
+    TimePoint writeAgainAt{0};
+    TimePoint vacancySince{0}; ///< there is room for another member
+    TimePoint evidenceAt{0};
+};
+
+} // namespace Jujubekeel
--- a/src/leadership/promotionsystem.cpp
+++ b/src/leadership/promotionsystem.cpp
@@ -1,6 +1,7 @@
 #include "leadership/promotionsystem.h"
 
 #include "leadership/leadershipsystem.h"
+#include "leadership/membershipsystem.h"
 #include "pool/linksystem.h"
 #include "pool/poolworld.h"
 
@@ -24,8 +25,9 @@
 } // namespace
 
 PromotionSystem::PromotionSystem(PoolWorld &poolWorld, LinkSystem &linkSystem, LeadershipSystem &leadershipSystem,
-                                 LeadershipOptions leadershipOptions)
-    : world(poolWorld), links(linkSystem), leadership(leadershipSystem), options(leadershipOptions)
+                                 MembershipSystem &membershipSystem, LeadershipOptions leadershipOptions)
+    : world(poolWorld), links(linkSystem), leadership(leadershipSystem), membership(membershipSystem),
+      options(leadershipOptions)
 {
 }
 
@@ -36,7 +38,7 @@
     this->world.services.forEach([&](ServiceId id, ServiceRow &service) {
         if (this->replacements.contains(id))
             return;
-        const FleetView::Record *known = this->leadership.fleet().record(service.name);
+        const FleetView::Record *known = this->membership.fleet().record(service.name);
         const bool own = known != nullptr && known->record.holder == this->world.options.instance;
         bool planned = false;
         const bool hasCandidate = service.servers.size() > (service.primary.isValid() ? 1 : 0);
@@ -54,7 +56,7 @@
 void PromotionSystem::resume(ServiceId id)
 {
     // Announced by this instance, by a write without an answer or before a restart.
-    const FleetView::Record &known = *this->leadership.fleet().record(this->world.services.at(id).name);
+    const FleetView::Record &known = *this->membership.fleet().record(this->world.services.at(id).name);
     Replacement replacement{.step = Step::Consent,
                             .record = known.record,
                             .expectedRevision = known.revision,
@@ -71,7 +73,7 @@
 void PromotionSystem::begin(ServiceId id, bool planned)
 {
     const ServiceRow &service = this->world.services.at(id);
-    const FleetView::Record *known = this->leadership.fleet().record(service.name);
+    const FleetView::Record *known = this->membership.fleet().record(service.name);
     Replacement replacement{.startedAt = this->world.now, .stepAt = this->world.now};
     replacement.expectedRevision = known == nullptr ? 0 : known->revision;
     replacement.record = LeadershipRecord{.epoch = (known == nullptr ? 0 : known->record.epoch) + 1,
@@ -91,7 +93,7 @@
          {"primary", service.primaryId},
          {"planned", planned ? "true" : "false"},
          {"epoch", std::to_string(replacement.record.epoch)},
-         {"knowledgeAgeMs", std::to_string((this->world.now - this->leadership.provedAt()).count() / 1000)}});
+         {"knowledgeAgeMs", std::to_string((this->world.now - this->membership.provedAt()).count() / 1000)}});
     this->world.counters.add("jujubekeel_pool_replacements_total");
     Replacement &row = this->replacements.emplace(id, std::move(replacement)).first->second;
     this->writeRecord(id, row, row.record);
@@ -187,7 +189,7 @@
 
 bool PromotionSystem::isSuperseded(const ServiceRow &service, const Replacement &replacement) const
 {
-    const FleetView::Record *known = this->leadership.fleet().record(service.name);
+    const FleetView::Record *known = this->membership.fleet().record(service.name);
     return known != nullptr && known->revision > replacement.expectedRevision;
 }
 
@@ -203,7 +205,7 @@
         return false;
     case Step::Consent:
         // The members must be known at least as of the announcement.
-        if (this->leadership.fleet().revision() < replacement.token || !this->allReleased(service, replacement))
+        if (this->membership.fleet().revision() < replacement.token || !this->allReleased(service, replacement))
             return true;
         this->strikeOffSilentMembers(service, replacement);
         this->enter(replacement, Step::Choose);
@@ -257,7 +259,7 @@
     const Duration lapse = this->lapseTime();
     if (this->world.now - replacement.announcedAt >= lapse)
         return true;
-    const auto &members = this->leadership.fleet().members();
+    const auto &members = this->membership.fleet().members();
     return std::all_of(members.begin(), members.end(), [&](const auto &entry) {
         if (entry.first == this->world.options.instance)
             return service.released;
@@ -271,7 +273,7 @@
 void PromotionSystem::strikeOffSilentMembers(const ServiceRow &service, const Replacement &replacement)
 {
     const Duration lapse = this->lapseTime();
-    for (const auto &[instance, member] : this->leadership.fleet().members()) {
+    for (const auto &[instance, member] : this->membership.fleet().members()) {
         if (instance == this->world.options.instance || hasReleased(member, service, replacement.record.epoch))
             continue;
         const bool struckOff = member.record.isStruckOff();
@@ -411,7 +413,7 @@
 void PromotionSystem::name(ServiceId id, Replacement &replacement)
 {
     // An instance that was suspended may have been replaced as the holder meanwhile.
-    if (!this->leadership.isInformed())
+    if (!this->membership.isInformed())
         return;
     replacement.call = this->world.takeCall();
     this->world.emit(NamePrimary{.call = replacement.call,
--- a/src/leadership/promotionsystem.h
+++ b/src/leadership/promotionsystem.h
@@ -16,6 +16,7 @@
 namespace Jujubekeel {
 
 class LeadershipSystem;
+class MembershipSystem;
 class LinkSystem;
 struct PoolWorld;
 struct ServiceRow;
@@ -28,7 +29,7 @@
 {
 public:
     PromotionSystem(PoolWorld &poolWorld, LinkSystem &linkSystem, LeadershipSystem &leadershipSystem,
-                    LeadershipOptions leadershipOptions);
+                    MembershipSystem &membershipSystem, LeadershipOptions leadershipOptions);
 
     /// Starts replacements that are due; called each check interval.
     void check();
@@ -88,6 +89,7 @@
     PoolWorld &world;
     LinkSystem &links;
     LeadershipSystem &leadership;
+    MembershipSystem &membership;
     LeadershipOptions options;
     std::map<ServiceId, Replacement> replacements;
     std::set<std::uint64_t> strikes; ///< calls that strike members off
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -16,9 +16,9 @@
       dispatch(this->world, this->links,
                [this](SessionId session, CallerReply reply) { this->sessions.finished(session, std::move(reply)); }),
       results(this->world, this->links, this->dispatch), sessions(this->world, this->dispatch),
-      directory(this->world, this->links, this->dispatch, this->results),
-      leadership(this->world, this->dispatch, this->results, leadershipOptions),
-      promotion(this->world, this->links, this->leadership, leadershipOptions),
+      directory(this->world, this->links, this->dispatch, this->results), membership(this->world, leadershipOptions),
+      leadership(this->world, this->dispatch, this->results, this->membership, leadershipOptions),
+      promotion(this->world, this->links, this->leadership, this->membership, leadershipOptions),
       relay(this->world, this->links, this->results)
 {
     this->world.options = std::move(options);
@@ -28,7 +28,8 @@
 {
     this->world.now = now;
     this->relay.start();
-    this->leadership.start(incarnation);
+    this->membership.start(incarnation);
+    this->leadership.start();
 }
 
 SessionId PoolCore::callerConnected(TimePoint now)
@@ -145,8 +146,9 @@
 void PoolCore::fleetNews(TimePoint now, const FleetNews &news)
 {
     this->world.now = now;
-    this->leadership.newsReceived(news);
-    this->relay.update(this->leadership.fleet());
+    this->membership.newsReceived(news);
+    this->leadership.newsReceived();
+    this->relay.update(this->membership.fleet());
     this->promotion.advance();
     if (this->world.isRelaying())
         this->dispatch.drain(this->world.relayService);
@@ -155,9 +157,9 @@
 void PoolCore::writeFinished(TimePoint now, const WriteOutcome &outcome)
 {
     this->world.now = now;
-    if (!this->leadership.writeFinished(outcome))
+    if (!this->membership.writeFinished(outcome))
         this->promotion.writeFinished(outcome);
-    this->relay.update(this->leadership.fleet());
+    this->relay.update(this->membership.fleet());
 }
 
 void PoolCore::promotionFinished(TimePoint now, const PromotionOutcome &outcome)
@@ -225,8 +227,8 @@
 
 void PoolCore::reviewPart()
 {
-    this->leadership.publish();
-    this->relay.update(this->leadership.fleet());
+    this->membership.publish();
+    this->relay.update(this->membership.fleet());
 }
 
 void PoolCore::handleStop()
@@ -238,7 +240,7 @@
     if (stopping >= this->world.options.stopLimit - stopInterval)
         this->results.settleAll();
     if (this->world.sessions.size() == 0)
-        this->leadership.unregister();
+        this->membership.unregister();
     this->world.timers.add(this->world.now + stopInterval, TimerKind::Stop);
 }
 
@@ -250,13 +252,13 @@
     this->world.stopping = true;
     this->world.stopRequestedAt = now;
     this->world.log(LogLevel::Info, "stop-requested", {{"sessions", std::to_string(this->world.sessions.size())}});
-    this->leadership.announceLeave();
+    this->membership.announceLeave();
     this->world.timers.add(now + this->world.options.stopDrainDelay, TimerKind::Stop);
 }
 
 FleetPace PoolCore::fleetPace() const
 {
-    if (this->leadership.awaitsProof())
+    if (this->membership.awaitsProof())
         return FleetPace::Proof;
     return this->world.isRelaying() && !this->world.placeVacant ? FleetPace::Gather : FleetPace::Close;
 }
@@ -268,7 +270,7 @@
     const Duration stopping = this->world.now - this->world.stopRequestedAt;
     return stopping >= this->world.options.stopLimit
            || (stopping >= this->world.options.stopDrainDelay && this->world.sessions.size() == 0
-               && this->leadership.isUnregistered());
+               && this->membership.isUnregistered());
 }
 
 bool PoolCore::acceptsCallers() const
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -2,6 +2,7 @@
 
 #include "leadership/leadershipoptions.h"
 #include "leadership/leadershipsystem.h"
+#include "leadership/membershipsystem.h"
 #include "leadership/promotionsystem.h"
 #include "pool/directorysystem.h"
 #include "pool/dispatchsystem.h"
@@ -97,6 +98,7 @@
     ResultSystem results;
     SessionSystem sessions;
     DirectorySystem directory;
+    MembershipSystem membership;
     LeadershipSystem leadership;
     PromotionSystem promotion;
     RelaySystem relay;
