--- a/src/leadership/leadershipoptions.h
+++ b/src/leadership/leadershipoptions.h
@@ -27,7 +27,8 @@
     Duration callRetry = std::chrono::milliseconds(200);    ///< pause before a call without answer is repeated
     Duration leadWait = std::chrono::milliseconds(4000);    ///< a named candidate must lead by then
     std::uint32_t vacancyTurns = 64; ///< instances that see room for another member register one after the other
-    Duration vacancyStep = std::chrono::milliseconds(12);      ///< between two of them; news travels in that time
+    Duration vacancyStep = std::chrono::milliseconds(12); ///< between two of them; news travels in that time
+    Duration memberGoneAfter = std::chrono::seconds(8);   ///< a member that no link reaches for this long has no place
     Duration knowledgeLimit = std::chrono::milliseconds(2500); ///< age of the record up to which a call may be sent
 };
 
--- a/src/leadership/membershipsystem.cpp
+++ b/src/leadership/membershipsystem.cpp
@@ -138,7 +138,7 @@
     const auto present = std::count_if(members.begin(), members.end(), [&](const auto &entry) {
         const MemberRecord &record = entry.second.record;
         return !record.isStruckOff() && record.state != MemberState::Leaving
-               && record.failureDomain == pool.failureDomain;
+               && record.failureDomain == pool.failureDomain && !this->isGone(entry.first);
     });
     if (static_cast<std::uint32_t>(present) >= std::max<std::uint32_t>(room / domains, 1)) {
         this->world.placeVacant = false;
@@ -156,6 +156,16 @@
     return false;
 }
 
+bool MembershipSystem::isGone(const std::string &member) const
+{
+    // The record of a member that is gone for good stays until a primary is replaced.
+    const auto found = this->world.memberById.find(member);
+    if (found == this->world.memberById.end())
+        return false;
+    const ServerRow &row = this->world.servers.at(found->second);
+    return row.unreachableSince.count() != 0 && this->world.now - row.unreachableSince >= this->options.memberGoneAfter;
+}
+
 bool MembershipSystem::hasOtherMembers() const
 {
     const auto &members = this->view.members();
--- a/src/leadership/membershipsystem.h
+++ b/src/leadership/membershipsystem.h
@@ -59,6 +59,8 @@
     void forgetEvidence();
     /// Fleets with more instances than a backend server has connections: only some of each failure domain register.
     [[nodiscard]] bool mayRegister();
+    /// This instance has not reached the member for so long that its place is free.
+    [[nodiscard]] bool isGone(const std::string &member) const;
     [[nodiscard]] bool hasOtherMembers() const;
 
     PoolWorld &world;
--- a/tests/pool/relaytest.cpp
+++ b/tests/pool/relaytest.cpp
@@ -198,6 +198,23 @@
     EXPECT_TRUE(run.pool.core(member)->state().isRelaying());
 }
 
+// Guards against a fleet that runs out of members, because the records of those that are gone for good keep their places.
+TEST(Relay, AnotherInstanceTakesThePlaceOfAMemberThatIsGone)
+{
+    RelayedPool run;
+    const std::size_t gone = run.members.front();
+    run.load();
+    run.pool.run(seconds(2));
+    run.pool.killInstance(gone);
+    // The caller of the killed instance itself gets no answer.
+    run.pool.run(seconds(20));
+    EXPECT_EQ(joined(findViolations(run.pool.group().history(), run.workload)), "");
+    std::size_t members = 0;
+    for (std::size_t instance = 0; instance < instanceCount; ++instance)
+        members += run.pool.core(instance) != nullptr && !run.pool.core(instance)->state().isRelaying() ? 1 : 0;
+    EXPECT_GE(members, 3U);
+}
+
 // Guards against work waiting for a member whose connections are silent when others are there.
 TEST(Relay, SilentMemberIsLeftForAnother)
 {
