Close surplus links when members join

Change: LinkSystem::closeSurplus after news of the fleet, not while a primary of the service is being replaced, whose questions may have opened one more. Test (failed first, 3 links of 2): ShareOfConnectionsFallsWithNewMembers.

--- a/src/pool/linksystem.cpp
+++ b/src/pool/linksystem.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cassert>
 #include <string_view>
+#include <vector>
 
 namespace Jujubekeel {
 
@@ -90,6 +91,25 @@
     return true;
 }
 
+void LinkSystem::closeSurplus()
+{
+    std::vector<LinkId> surplus;
+    this->world.servers.forEach([&](ServerId, const ServerRow &row) {
+        // A replacement may have opened one more, for its questions.
+        if (this->world.services.at(row.service).changing)
+            return;
+        std::size_t count = row.links.size();
+        for (const LinkId link : row.links) {
+            if (count > this->linkLimit(row) && this->world.links.at(link).isFree()) {
+                surplus.push_back(link);
+                count -= 1;
+            }
+        }
+    });
+    for (const LinkId link : surplus)
+        this->close(link, LinkEnd::Closed);
+}
+
 void LinkSystem::send(LinkId link, ExchangeKind kind, ServerCommand command)
 {
     LinkRow &row = this->world.links.at(link);
--- a/src/pool/linksystem.h
+++ b/src/pool/linksystem.h
@@ -48,6 +48,9 @@
     /// is being opened now.
     bool ensureOpening(ServerId server, LinkPurpose purpose = LinkPurpose::Work);
 
+    /// Closes free links beyond the limit, which falls when members join.
+    void closeSurplus();
+
     /// Sends a command; the answer is matched in order.
     void send(LinkId link, ExchangeKind kind, ServerCommand command);
     /// The link is closed as silent if the oldest exchange has no answer by then.
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -149,6 +149,7 @@
     this->membership.newsReceived(news);
     this->leadership.newsReceived();
     this->relay.update(this->membership.fleet());
+    this->links.closeSurplus();
     this->promotion.advance();
     if (this->world.isRelaying())
         this->dispatch.drain(this->world.relayService);
--- a/tests/pool/poolfleettest.cpp
+++ b/tests/pool/poolfleettest.cpp
@@ -401,6 +401,32 @@
     EXPECT_LE(pool.now() - back, milliseconds(500));
 }
 
+// Guards against members that were there first keeping more than their share of a server's connections: those that came
+// later would be refused for good.
+TEST(PoolFleet, ShareOfConnectionsFallsWithNewMembers)
+{
+    VirtualPoolOptions options{.instances = 9, .relays = true};
+    VirtualPool pool(options);
+    PoolWorkload workload(pool, {.callers = 30, .think = milliseconds(2), .instances = 3});
+    pool.run(seconds(2));
+    for (std::size_t late = 3; late < 9; ++late)
+        pool.requestStop(late);
+    pool.run(seconds(7));
+    workload.start(pool.now() + seconds(2));
+    pool.run(seconds(4));
+    for (std::size_t late = 3; late < 9; ++late)
+        pool.startInstance(late);
+    pool.run(seconds(3));
+    std::size_t links = 0;
+    for (std::size_t instance = 0; instance < 9; ++instance) {
+        pool.core(instance)->state().servers.forEach([&](ServerId, const ServerRow &row) {
+            EXPECT_LE(row.links.size(), 2U) << "instance " << instance;
+            links += row.links.size();
+        });
+    }
+    EXPECT_GT(links, 0U);
+}
+
 // Guards against reads that wait for positions which a replacement has rolled back: positions of the old primary end with
 // its leadership.
 TEST(PoolFleet, RolledBackPositionsAreNotDemanded)
