Take queued work off the queue that it stands in

Cause: found in the read-through. A relaying instance queues work of a service that it does not know yet in the members' queue. If the service became known before the caller left, the work was looked for in the service's queue and stayed in the other; the next news of the fleet then ended the process (assertion in Table::at). Change: the work remembers its queue. Test (failed first, by that assertion): QueuedWorkLeavesWithItsCallerThoughItsServiceBecameKnown.

--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -102,6 +102,7 @@
     });
     service.queue.insert(place, id);
     session.work->queued = true;
+    session.work->queue = serviceId;
     this->world.timers.add(session.work->giveUpAt, TimerKind::WorkDeadline, id.packed());
 }
 
@@ -110,8 +111,8 @@
     SessionRow &session = this->world.sessions.at(id);
     if (!session.work || !session.work->queued)
         return;
-    const ServiceId serviceId = this->serviceOf(session);
-    std::erase(this->world.services.at(serviceId).queue, id);
+    // Not serviceOf(): the service may have become known since.
+    std::erase(this->world.services.at(session.work->queue).queue, id);
     session.work->queued = false;
 }
 
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -32,6 +32,7 @@
     bool needsPrimary = false;
     bool writes = false;    ///< a single write, or the commit of a transaction that wrote
     bool queued = false;    ///< waits for a link
+    ServiceId queue;        ///< while queued: the service in whose queue it waits
     bool beginSent = false; ///< the link's answer to Begin is outstanding
     bool sent = false;      ///< passed on to a backend server at least once
     TimePoint sentAt{0};    ///< last passed on
--- a/tests/pool/relaytest.cpp
+++ b/tests/pool/relaytest.cpp
@@ -229,6 +229,39 @@
     EXPECT_LT(run.pool.now() - before, milliseconds(200));
 }
 
+// Guards against work that stays in a queue after its caller has left: the service was unknown when it was queued, and has
+// become known since.
+TEST(Relay, QueuedWorkLeavesWithItsCallerThoughItsServiceBecameKnown)
+{
+    PoolCore core(PoolOptions{.instance = "i1", .failureDomain = "d0", .relayAddress = "relay:1"});
+    core.start(seconds(1), 1);
+    auto routes = std::make_shared<RouteTable>(1);
+    routes->addService("records", {.maxConnections = 21});
+    routes->addRoute(Route{.name = "r", .database = "db", .service = "records"});
+    core.routesReceived(seconds(1), routes);
+    FleetNews news{.complete = true, .revision = 9, .askedAt = seconds(1)};
+    for (int member = 2; member < 12; ++member) {
+        const std::string name = "i" + std::to_string(member);
+        const MemberRecord record{.incarnation = 1,
+                                  .relayAddress = "relay:" + std::to_string(member),
+                                  .failureDomain = "d0",
+                                  .state = MemberState::Serving};
+        news.objects.push_back(
+            FleetObject{.name = FleetView::memberName(name), .revision = 9, .content = record.toText()});
+    }
+    core.fleetNews(seconds(1), news);
+    ASSERT_TRUE(core.state().isRelaying());
+
+    const SessionId session = core.callerConnected(seconds(1));
+    core.callerOpens(seconds(1), session, "db");
+    core.callerRuns(seconds(1), session, Statement{.kind = StatementKind::Read, .id = "r1", .text = "READ a"});
+    core.entriesListed(seconds(1), {ServerEntry{.id = "s1", .service = "records", .address = "s1"}});
+    core.callerEnds(seconds(1), session);
+    news.revision = 10;
+    core.fleetNews(seconds(1), news);
+    core.state().services.forEach([](ServiceId, const ServiceRow &service) { EXPECT_TRUE(service.queue.empty()); });
+}
+
 // Guards against work that was meant for an instance that is gone running at another one with its address.
 TEST(Relay, MemberRefusesALinkThatIsMeantForAnother)
 {
