Join what the change wrote twice; tell members of a session only when it changed

Found by reading the whole change once more: - closing a server's free links stood in DirectorySystem and RelaySystem: LinkSystem::closeFree; ending the links of a server that leaves as well: ResultSystem::serverLeft. - how long a server has been silent was worked out in LeadershipSystem and in ServerChooser: ServerRow::silence. - a relayed statement wrote its RelayedRoute as JSON each time, to compare it with the last one; the link keeps route and mark and compares these. - whether work is queued followed from the queue it stands in; whether a place is vacant was kept in PoolWorld though only MembershipSystem decides it. - the tests of jujubekeel-ctl started the program in two ways: runCtl.

--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -217,7 +217,7 @@
         return now - service.missingSince >= this->options.missingLimit;
     if (primary->unreachableSince.count() != 0 && now - primary->unreachableSince >= this->options.refusedLimit)
         return true;
-    const Duration silence = this->silenceOf(*primary);
+    const Duration silence = primary->silence(this->world.now);
     if (silence < this->options.doubtLimit)
         return false;
     // A server that is only slow still accepts a connection, and answers a question that takes no slot.
@@ -231,13 +231,6 @@
     return silence >= this->options.silenceLimit || connectHangs || probeHangs;
 }
 
-Duration LeadershipSystem::silenceOf(const ServerRow &server) const
-{
-    if (server.askedSince.count() == 0)
-        return Duration{0};
-    return this->world.now - std::max(server.askedSince, server.lastAnswerAt);
-}
-
 void LeadershipSystem::checkView(ServiceId id)
 {
     const ServiceRow &service = this->world.services.at(id);
@@ -252,7 +245,7 @@
     else
         this->drainingSince.erase(service.name);
 
-    if (primary != nullptr && this->silenceOf(*primary) >= this->options.doubtLimit)
+    if (primary != nullptr && primary->silence(this->world.now) >= this->options.doubtLimit)
         this->dispatch.probePrimary(id);
 
     // An own view is published if the primary seems unreachable to this instance, or to another one.
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -55,8 +55,6 @@
     void release(ServiceId service);
     void checkView(ServiceId service);
     void armCheck();
-    /// Time for which a server has answered nothing though it was asked.
-    [[nodiscard]] Duration silenceOf(const ServerRow &server) const;
     [[nodiscard]] bool isUnreachable(const ServiceRow &service) const;
     [[nodiscard]] std::uint32_t rank(const std::string &service) const;
     [[nodiscard]] Duration dueAfter(const std::string &service) const;
--- a/src/leadership/membershipsystem.cpp
+++ b/src/leadership/membershipsystem.cpp
@@ -86,7 +86,7 @@
         this->ownRevision = outcome.revision;
         if (!this->registered) {
             this->registered = true;
-            this->world.placeVacant = false;
+            this->placeVacant = false;
             if (!this->world.isRelaying())
                 this->world.part = FleetPart::Member;
             this->registeredAt = this->world.now;
@@ -141,13 +141,13 @@
                && record.failureDomain == pool.failureDomain && !this->isGone(entry.first);
     });
     if (static_cast<std::uint32_t>(present) >= std::max<std::uint32_t>(room / domains, 1)) {
-        this->world.placeVacant = false;
+        this->placeVacant = false;
         return false;
     }
     // Instances that see the same vacancy take their turn, so that the first one is known to the others.
-    if (!this->world.placeVacant)
+    if (!this->placeVacant)
         this->vacancySince = this->world.now;
-    this->world.placeVacant = true;
+    this->placeVacant = true;
     const std::size_t turn = std::hash<std::string>{}(pool.instance) % this->options.vacancyTurns;
     const TimePoint due = this->vacancySince + this->options.vacancyStep * static_cast<std::int64_t>(turn);
     if (this->world.now >= due)
--- a/src/leadership/membershipsystem.h
+++ b/src/leadership/membershipsystem.h
@@ -48,6 +48,8 @@
     {
         return this->registered ? this->evidenceAt.count() == 0 : this->writeCall != 0 && !this->unregistering;
     }
+    /// There is room for another member, and this instance waits for its turn.
+    [[nodiscard]] bool awaitsPlace() const { return this->placeVacant; }
     /// Newest proof that the store still shows what this instance knows; 0: there is none.
     [[nodiscard]] TimePoint provedAt() const { return this->evidenceAt; }
     /// That proof is young enough to replace a primary on.
@@ -75,7 +77,8 @@
     std::uint64_t ownRevision = 0;
     TimePoint registeredAt{0};
     TimePoint writeAgainAt{0};
-    TimePoint vacancySince{0}; ///< there is room for another member
+    bool placeVacant = false; ///< there is room for another member, and this instance waits for its turn
+    TimePoint vacancySince{0};
     TimePoint evidenceAt{0};
 };
 
--- a/src/pool/directorysystem.cpp
+++ b/src/pool/directorysystem.cpp
@@ -87,12 +87,12 @@
         row.retryAt = TimePoint{0};
         row.retryPause = Duration{0};
         row.unreachableSince = TimePoint{0};
-        this->closeFreeLinks(id);
+        this->links.closeFree(id);
     }
     if (drains) {
         row.drainingSince = this->world.now;
         if (this->world.services.at(row.service).primary != id)
-            this->closeFreeLinks(id);
+            this->links.closeFree(id);
     }
     if (restarted || moved || drains)
         this->world.log(LogLevel::Info, "server-changed",
@@ -155,19 +155,8 @@
         service.primary = ServerId{};
 
     // Work that is under way there ends with its connection.
-    const std::vector<LinkId> open = row.links;
-    for (const LinkId link : open)
-        this->results.linkLost(link, LinkEnd::Closed);
+    this->results.serverLeft(id);
     this->world.servers.erase(id);
 }
 
-void DirectorySystem::closeFreeLinks(ServerId id)
-{
-    const std::vector<LinkId> open = this->world.servers.at(id).links;
-    for (const LinkId link : open) {
-        if (this->world.links.at(link).isFree())
-            this->links.close(link, LinkEnd::Closed);
-    }
-}
-
 } // namespace Jujubekeel
--- a/src/pool/directorysystem.h
+++ b/src/pool/directorysystem.h
@@ -42,7 +42,6 @@
     ServerId addServer(const ServerEntry &entry);
     void update(ServerId server, const ServerEntry &entry);
     void remove(ServerId server, std::string_view reason);
-    void closeFreeLinks(ServerId server);
 
     PoolWorld &world;
     LinkSystem &links;
--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -101,7 +101,6 @@
         return row.work->arrivedAt > session.work->arrivedAt;
     });
     service.queue.insert(place, id);
-    session.work->queued = true;
     session.work->queue = serviceId;
     this->world.timers.add(session.work->giveUpAt, TimerKind::WorkDeadline, id.packed());
 }
@@ -109,11 +108,11 @@
 void DispatchSystem::removeFromQueue(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
-    if (!session.work || !session.work->queued)
+    if (!session.work || !session.work->isQueued())
         return;
     // Not serviceOf(): the service may have become known since.
     std::erase(this->world.services.at(session.work->queue).queue, id);
-    session.work->queued = false;
+    session.work->queue = ServiceId{};
 }
 
 bool DispatchSystem::trySend(SessionId id)
@@ -207,14 +206,15 @@
 void DispatchSystem::describeSession(const SessionRow &session, LinkId linkId)
 {
     LinkRow &link = this->world.links.at(linkId);
+    if (link.relayedRoute == session.route && link.relayedMark == session.mark)
+        return;
+    link.relayedRoute = session.route;
+    link.relayedMark = session.mark;
     RelayedRoute relayed{.route = *session.route};
     if (session.mark != LogPosition{})
         relayed.mark = session.mark;
-    std::string text = relayed.toText();
-    if (text == link.relayedRoute)
-        return;
-    this->links.send(linkId, ExchangeKind::Setup, ServerCommand{.kind = CommandKind::UseRoute, .argument = text});
-    link.relayedRoute = std::move(text);
+    this->links.send(linkId, ExchangeKind::Setup,
+                     ServerCommand{.kind = CommandKind::UseRoute, .argument = relayed.toText()});
 }
 
 void DispatchSystem::sendStatement(SessionId id, LinkId linkId, std::optional<LogPosition> after)
@@ -346,7 +346,7 @@
     waiting.swap(this->world.services.at(serviceId).queue);
     for (const SessionId id : waiting) {
         if (this->trySend(id))
-            this->world.sessions.at(id).work->queued = false;
+            this->world.sessions.at(id).work->queue = ServiceId{};
         else
             this->world.services.at(serviceId).queue.push_back(id);
     }
@@ -388,7 +388,7 @@
     if (session == nullptr || !session->work)
         return;
     PendingWork &work = *session->work;
-    if (!work.queued || this->world.now < work.giveUpAt)
+    if (!work.isQueued() || this->world.now < work.giveUpAt)
         return;
 
     // While the primary is away its replacement may come in time.
@@ -418,7 +418,7 @@
         service.queue.clear();
     });
     for (const SessionId id : waiting) {
-        this->world.sessions.at(id).work->queued = false;
+        this->world.sessions.at(id).work->queue = ServiceId{};
         this->finishWithError(id, OutcomeCode::Busy, "the instance is stopping", SessionState::Failed);
     }
 }
--- a/src/pool/linkrow.h
+++ b/src/pool/linkrow.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -14,6 +15,8 @@
 
 namespace Jujubekeel {
 
+struct Route;
+
 enum class ExchangeKind : std::uint8_t {
     Open,
     Setup, ///< values and prepared statements of the session that uses the link
@@ -51,7 +54,8 @@
     TimePoint deadline{0};                                  ///< for the oldest exchange; 0: none
     std::map<std::string, std::string, std::less<>> values; ///< session values in force on the connection
     std::set<std::string, std::less<>> prepared;            ///< names of the pool's own prepared statements
-    std::string relayedRoute;                               ///< to a member: what it was last told of the session
+    std::shared_ptr<const Route> relayedRoute;              ///< to a member: route that it was last told of
+    LogPosition relayedMark;                                ///< and newest commit of the session then
 
     [[nodiscard]] bool isFree() const { return this->open && !this->user.isValid() && this->exchanges.empty(); }
 };
--- a/src/pool/linksystem.cpp
+++ b/src/pool/linksystem.cpp
@@ -91,6 +91,15 @@
     return true;
 }
 
+void LinkSystem::closeFree(ServerId server)
+{
+    const std::vector<LinkId> open = this->world.servers.at(server).links;
+    for (const LinkId link : open) {
+        if (this->world.links.at(link).isFree())
+            this->close(link, LinkEnd::Closed);
+    }
+}
+
 void LinkSystem::closeSurplus()
 {
     std::vector<LinkId> surplus;
@@ -98,9 +107,10 @@
         // A replacement may have opened one more, for its questions.
         if (this->world.services.at(row.service).changing)
             return;
+        const std::uint32_t limit = this->linkLimit(row);
         std::size_t count = row.links.size();
         for (const LinkId link : row.links) {
-            if (count > this->linkLimit(row) && this->world.links.at(link).isFree()) {
+            if (count > limit && this->world.links.at(link).isFree()) {
                 surplus.push_back(link);
                 count -= 1;
             }
--- a/src/pool/linksystem.h
+++ b/src/pool/linksystem.h
@@ -48,6 +48,8 @@
     /// is being opened now.
     bool ensureOpening(ServerId server, LinkPurpose purpose = LinkPurpose::Work);
 
+    /// Closes the server's links that nobody uses.
+    void closeFree(ServerId server);
     /// Closes free links beyond the limit, which falls when members join.
     void closeSurplus();
 
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -261,7 +261,7 @@
 {
     if (this->membership.awaitsProof())
         return FleetPace::Proof;
-    return this->world.isRelaying() && !this->world.placeVacant ? FleetPace::Gather : FleetPace::Close;
+    return this->world.isRelaying() && !this->membership.awaitsPlace() ? FleetPace::Gather : FleetPace::Close;
 }
 
 bool PoolCore::isStopped() const
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -42,7 +42,6 @@
     std::map<std::string, ServerId> memberById; ///< other instances that take relayed work
     ServiceId relayService;                     ///< lists the members
     FleetPart part = FleetPart::Undecided;
-    bool placeVacant = false; ///< there is room for another member, and this instance waits for its turn
     std::shared_ptr<const RouteTable> routes; ///< null: no configuration has been received
     std::uint32_t instances = 1;              ///< instances that share the servers' connections
     bool stopping = false;
--- a/src/pool/relaysystem.cpp
+++ b/src/pool/relaysystem.cpp
@@ -49,7 +49,7 @@
         if (entry.address == record.relayAddress && entry.incarnation == record.incarnation) {
             if (record.state == MemberState::Leaving && !entry.draining) {
                 this->world.servers.at(found->second).entry.draining = true;
-                this->closeFreeLinks(found->second);
+                this->links.closeFree(found->second);
             }
             return;
         }
@@ -74,9 +74,7 @@
     const ServerId id = this->world.memberById.at(instance);
     this->world.memberById.erase(instance);
     std::erase(this->world.services.at(this->world.relayService).servers, id);
-    const std::vector<LinkId> open = this->world.servers.at(id).links;
-    for (const LinkId link : open)
-        this->results.linkLost(link, LinkEnd::Closed);
+    this->results.serverLeft(id);
     this->world.servers.erase(id);
 }
 
@@ -93,16 +91,7 @@
             unused.push_back(id);
     });
     for (const ServerId id : unused)
-        this->closeFreeLinks(id);
-}
-
-void RelaySystem::closeFreeLinks(ServerId id)
-{
-    const std::vector<LinkId> open = this->world.servers.at(id).links;
-    for (const LinkId link : open) {
-        if (this->world.links.at(link).isFree())
-            this->links.close(link, LinkEnd::Closed);
-    }
+        this->links.closeFree(id);
 }
 
 } // namespace Jujubekeel
--- a/src/pool/relaysystem.h
+++ b/src/pool/relaysystem.h
@@ -31,7 +31,6 @@
     void listMember(const std::string &instance, const MemberRecord &record);
     void removeMember(const std::string &instance);
     void changePart();
-    void closeFreeLinks(ServerId server);
 
     PoolWorld &world;
     LinkSystem &links;
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -313,7 +313,7 @@
     SessionRow *session = this->world.sessions.find(link.user);
     if (session == nullptr)
         return;
-    const bool statementUnderWay = session->work && !session->work->queued && !session->work->withheld;
+    const bool statementUnderWay = session->work && !session->work->isQueued() && !session->work->withheld;
     const bool ofThisLink = !session->transaction || session->transaction->link == linkId;
     if (session->transaction && session->transaction->link == linkId) {
         session->transaction->link = LinkId{};
@@ -326,6 +326,13 @@
     }
 }
 
+void ResultSystem::serverLeft(ServerId server)
+{
+    const std::vector<LinkId> open = this->world.servers.at(server).links;
+    for (const LinkId link : open)
+        this->linkLost(link, LinkEnd::Closed);
+}
+
 void ResultSystem::settleLost(SessionId id, LinkEnd end)
 {
     SessionRow &session = this->world.sessions.at(id);
--- a/src/pool/resultsystem.h
+++ b/src/pool/resultsystem.h
@@ -24,6 +24,8 @@
     void exchangeCompleted(LinkId link, CompletedExchange completed);
     /// Settles the work on a link and closes it.
     void linkLost(LinkId link, LinkEnd end);
+    /// Does that for all links of a server that is about to be removed.
+    void serverLeft(ServerId server);
     /// Delivers or gives up results that wait for a proof of leadership.
     void reviewWithheld(ServiceId service);
     /// The time of a session's withheld result may be over.
--- a/src/pool/serverchooser.cpp
+++ b/src/pool/serverchooser.cpp
@@ -71,10 +71,8 @@
         const bool absent = row.unreachableSince.count() != 0 && this->world.now < row.retryAt;
         if (row.entry.draining || absent || std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
-        const bool silent = row.askedSince.count() != 0
-                            && this->world.now - std::max(row.askedSince, row.lastAnswerAt) > options.relaySilence;
         // Instances that know equally little of the members spread over them.
-        candidates.push_back(Candidate{.silent = silent,
+        candidates.push_back(Candidate{.silent = row.silence(this->world.now) > options.relaySilence,
                                        .wait = this->expectedWait(id, false),
                                        .tieBreak = std::hash<std::string>{}(options.instance + instance),
                                        .id = id});
--- a/src/pool/serverrow.h
+++ b/src/pool/serverrow.h
@@ -4,6 +4,7 @@
 #include "pool/poolids.h"
 #include "session/logposition.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -34,6 +35,12 @@
     Duration retryPause{0};
     TimePoint behindUntil{0}; ///< passed over for positions that it is not known to hold
     Duration behindPause{0};
+
+    /// Time for which the server has answered nothing though it was asked.
+    [[nodiscard]] Duration silence(TimePoint now) const
+    {
+        return this->askedSince.count() == 0 ? Duration{0} : now - std::max(this->askedSince, this->lastAnswerAt);
+    }
 };
 
 } // namespace Jujubekeel
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -31,8 +31,7 @@
     TimePoint consistentAt{0}; ///< commits acknowledged up to here must be visible
     bool needsPrimary = false;
     bool writes = false;    ///< a single write, or the commit of a transaction that wrote
-    bool queued = false;    ///< waits for a link
-    ServiceId queue;        ///< while queued: the service in whose queue it waits
+    ServiceId queue;        ///< service in whose queue it waits for a link; invalid: it does not wait
     bool beginSent = false; ///< the link's answer to Begin is outstanding
     bool sent = false;      ///< passed on to a backend server at least once
     TimePoint sentAt{0};    ///< last passed on
@@ -43,6 +42,8 @@
     std::optional<LogPosition> after;      ///< position demanded of the last server
     std::optional<CallerReply> withheld;   ///< result that waits for proof of leadership
     TimePoint answeredAt{0};               ///< when the withheld result came
+
+    [[nodiscard]] bool isQueued() const { return this->queue.isValid(); }
 };
 
 /// An open transaction of a session.
--- a/tests/ctl/ctltest.cpp
+++ b/tests/ctl/ctltest.cpp
@@ -1,3 +1,4 @@
+#include "ctl/ctlprogram.h"
 #include "ctl/httpfake.h"
 
 #include "fakes/fakeplatform.h"
@@ -5,9 +6,6 @@
 #include "wire/platformjson.h"
 
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Pipe.h>
-#include <Poco/PipeStream.h>
-#include <Poco/Process.h>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -32,13 +30,6 @@
                                       "no-repeat orders order.* # Ana: never twice\n";
 const std::string operatorKey(40, 'o');
 
-struct CommandResult
-{
-    int status = -1;
-    std::string output;
-    std::string errors;
-};
-
 /// Answer of the fake platform over HTTP, in the form of the fake-platform program.
 HttpFakeReply platformReply(const PlatformAnswer &answer)
 {
@@ -90,21 +81,7 @@
     {
         if (withSettings)
             arguments.push_back("--settings=" + (this->directory / "fleet.yaml").string());
-        Poco::Pipe output;
-        Poco::Pipe errors;
-        const std::string program = std::string(JUJUBEKEEL_BINARY_DIR) + "/bin/jujubekeel-ctl";
-        Poco::ProcessHandle process =
-            Poco::Process::launch(program, arguments, this->directory.string(), nullptr, &output, &errors);
-        CommandResult result;
-        std::jthread reader([&] {
-            Poco::PipeInputStream stream(errors);
-            result.errors.assign(std::istreambuf_iterator<char>(stream), {});
-        });
-        Poco::PipeInputStream stream(output);
-        result.output.assign(std::istreambuf_iterator<char>(stream), {});
-        reader.join();
-        result.status = process.wait();
-        return result;
+        return runCtl(arguments, this->directory.string());
     }
 
     [[nodiscard]] std::string file(const std::string &name) const { return (this->directory / name).string(); }
--- a/tests/ctl/explainlogtest.cpp
+++ b/tests/ctl/explainlogtest.cpp
@@ -1,13 +1,10 @@
-#include <Poco/Pipe.h>
-#include <Poco/PipeStream.h>
-#include <Poco/Process.h>
+#include "ctl/ctlprogram.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
 #include <filesystem>
 #include <fstream>
-#include <iterator>
 #include <string>
 #include <vector>
 
@@ -42,16 +39,9 @@
         std::ofstream(this->directory / "member.log") << memberLog;
     }
 
-    /// Runs the command; returns its exit status.
-    int run(const std::vector<std::string> &arguments, std::string &output) const
+    [[nodiscard]] CommandResult run(const std::vector<std::string> &arguments) const
     {
-        Poco::Pipe out;
-        Poco::Pipe errors;
-        const auto process = Poco::Process::launch(std::string(JUJUBEKEEL_BINARY_DIR) + "/bin/jujubekeel-ctl",
-                                                   arguments, nullptr, &out, &errors);
-        Poco::PipeInputStream stream(out);
-        output.assign(std::istreambuf_iterator<char>(stream), {});
-        return process.wait();
+        return runCtl(arguments, this->directory.string());
     }
     [[nodiscard]] std::string log(const char *name) const { return "--log=" + (this->directory / name).string(); }
 
@@ -61,9 +51,10 @@
 // Guards against an explanation that leaves out a hop, takes another request's line, or names what was learned later.
 TEST_F(ExplainLogTest, NamesDecisionsAndWhatWasKnownBefore)
 {
-    std::string output;
-    ASSERT_EQ(this->run({"explain", "r1", this->log("relay.log"), this->log("member.log"), "--json"}, output), 0);
-    const auto found = nlohmann::json::parse(output);
+    const CommandResult result =
+        this->run({"explain", "r1", this->log("relay.log"), this->log("member.log"), "--json"});
+    ASSERT_EQ(result.status, 0) << result.errors;
+    const auto found = nlohmann::json::parse(result.output);
     ASSERT_EQ(found.at("decisions").size(), 2U);
     EXPECT_EQ(found.at("decisions").at(0).at("instance"), "front-3");
     EXPECT_EQ(found.at("decisions").at(1).at("reason"), "no connection became free in time");
@@ -77,10 +68,12 @@
 // Guards against an empty explanation that looks like a result.
 TEST_F(ExplainLogTest, UnknownRequestsAndMissingFilesAreErrors)
 {
-    std::string output;
-    EXPECT_EQ(this->run({"explain", "r9", this->log("member.log")}, output), 1);
-    EXPECT_EQ(this->run({"explain", "r1", this->log("missing.log")}, output), 2);
-    EXPECT_EQ(output, "");
+    const CommandResult unknown = this->run({"explain", "r9", this->log("member.log")});
+    EXPECT_EQ(unknown.status, 1);
+    EXPECT_EQ(unknown.output, "");
+    const CommandResult missing = this->run({"explain", "r1", this->log("missing.log")});
+    EXPECT_EQ(missing.status, 2);
+    EXPECT_EQ(missing.output, "");
 }
 
 } // namespace
