--- /dev/null
+++ b/src/catalog/routejson.cpp
@@ -0,0 +1,73 @@
+#include "catalog/routejson.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace Jujubekeel {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Error id of a value that has the right type but is out of range.
+constexpr int valueOutOfRange = 599;
+
+} // namespace
+
+Json toJson(const Route &route)
+{
+    return {{"name", route.name},
+            {"version", route.version},
+            {"database", route.database},
+            {"service", route.service},
+            {"consistency", static_cast<std::uint32_t>(route.consistency)},
+            {"maxStalenessUs", route.maxStaleness.count()},
+            {"statementTimeoutUs", route.statementTimeout.count()},
+            {"latencyObjectiveUs", route.latencyObjective.count()},
+            {"priority", route.priority}};
+}
+
+Route routeFromJson(const Json &root)
+{
+    const auto consistency = root.at("consistency").get<std::uint32_t>();
+    if (consistency > static_cast<std::uint32_t>(ReadConsistency::ReadYourWrites))
+        throw Json::other_error::create(valueOutOfRange, "unknown consistency", &root);
+    return Route{.name = root.at("name").get<std::string>(),
+                 .database = root.at("database").get<std::string>(),
+                 .service = root.at("service").get<std::string>(),
+                 .consistency = static_cast<ReadConsistency>(consistency),
+                 .maxStaleness = Duration(root.at("maxStalenessUs").get<std::int64_t>()),
+                 .statementTimeout = Duration(root.at("statementTimeoutUs").get<std::int64_t>()),
+                 .latencyObjective = Duration(root.at("latencyObjectiveUs").get<std::int64_t>()),
+                 .priority = root.at("priority").get<std::uint32_t>(),
+                 .version = root.at("version").get<std::uint64_t>()};
+}
+
+Json toJson(const RouteTable &table)
+{
+    Json routes = Json::array();
+    for (const auto &[database, route] : table.allRoutes())
+        routes.push_back(toJson(*route));
+    Json services = Json::object();
+    for (const auto &[name, limits] : table.allServices())
+        services[name] = limits.maxConnections;
+    return {{"version", table.version()},
+            {"transactionIdleLimitUs", table.transactionIdleLimit().count()},
+            {"services", std::move(services)},
+            {"routes", std::move(routes)}};
+}
+
+std::shared_ptr<const RouteTable> routeTableFromJson(const Json &root)
+{
+    auto table = std::make_shared<RouteTable>(root.at("version").get<std::uint64_t>());
+    table->setTransactionIdleLimit(Duration(root.at("transactionIdleLimitUs").get<std::int64_t>()));
+    for (const auto &[name, maxConnections] : root.at("services").items())
+        table->addService(name, {.maxConnections = maxConnections.get<std::uint32_t>()});
+    for (const Json &route : root.at("routes"))
+        table->addRoute(routeFromJson(route));
+    return table;
+}
+
+} // namespace Jujubekeel
--- a/src/catalog/routetable.h
+++ b/src/catalog/routetable.h
@@ -36,6 +36,16 @@
     [[nodiscard]] bool hasService(std::string_view service) const;
     [[nodiscard]] std::uint64_t version() const { return this->tableVersion; }
     [[nodiscard]] std::size_t size() const { return this->routes.size(); }
+    /// All routes by database.
+    [[nodiscard]] const std::map<std::string, std::shared_ptr<const Route>, std::less<>> &allRoutes() const
+    {
+        return this->routes;
+    }
+    /// All services by name.
+    [[nodiscard]] const std::map<std::string, ServiceLimits, std::less<>> &allServices() const
+    {
+        return this->services;
+    }
     /// Transactions that have been idle for longer than this are rolled back.
     [[nodiscard]] Duration transactionIdleLimit() const { return this->idleLimit; }
 
--- a/src/leadership/fleetmessages.h
+++ b/src/leadership/fleetmessages.h
@@ -22,6 +22,7 @@
 struct FleetUpdate
 {
     bool complete = false; ///< full list: objects that it does not contain do not exist
+    bool reported = false; ///< a member has sent it: a full list of the members only, which verifies nothing
     std::vector<FleetObject> objects;
     std::uint64_t revision = 0;
     TimePoint requestedAt{0};
--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -22,15 +22,62 @@
     return std::string(memberPrefix) + std::string(instance);
 }
 
-void FleetView::apply(const FleetUpdate &update, TimePoint now)
+bool FleetView::apply(const FleetUpdate &update, TimePoint now)
 {
+    if (update.reported)
+        return this->applyReported(update, now);
     if (update.revision < this->knownRevision)
-        return;
+        return false;
     if (update.complete)
         this->removeMissing(update);
     for (const FleetObject &object : update.objects)
         this->applyObject(object, now);
     this->knownRevision = update.revision;
+    return true;
+}
+
+bool FleetView::applyReported(const FleetUpdate &update, TimePoint now)
+{
+    if (update.revision < this->memberRevision())
+        return false;
+    // The revision of the view stays as it is: a report does not contain the leadership records, whose changes must
+    // still be accepted from the store.
+    this->reportedRevision = update.revision;
+    std::set<std::string, std::less<>> present;
+    for (const FleetObject &object : update.objects) {
+        if (!object.name.starts_with(memberPrefix))
+            continue;
+        present.insert(object.name);
+        this->applyObject(object, now);
+    }
+    std::erase_if(this->memberRows, [&](const auto &row) { return !present.contains(memberName(row.first)); });
+    return true;
+}
+
+std::uint64_t FleetView::memberRevision() const
+{
+    return std::max(this->knownRevision, this->reportedRevision);
+}
+
+std::uint64_t FleetView::memberDigest() const
+{
+    // FNV-1a. Views of primaries and releases are left out, because only members use them.
+    constexpr std::uint64_t offsetBasis = 14695981039346656037U;
+    constexpr std::uint64_t prime = 1099511628211U;
+    std::uint64_t digest = offsetBasis;
+    const auto add = [&](std::string_view text) {
+        for (const char letter : text)
+            digest = (digest ^ static_cast<unsigned char>(letter)) * prime;
+        digest = digest * prime + 1;
+    };
+    for (const auto &[instance, member] : this->memberRows) {
+        add(instance);
+        add(std::to_string(member.record.incarnation));
+        add(member.record.relayAddress);
+        add(member.record.failureDomain);
+        add(std::to_string(static_cast<unsigned>(member.record.state)));
+    }
+    return digest;
 }
 
 void FleetView::removeMissing(const FleetUpdate &update)
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -24,7 +24,10 @@
 
 void RegistrationSystem::fleetUpdated(const FleetUpdate &update)
 {
-    this->view.apply(update, this->world.now);
+    // An answer that was overtaken by a later one verifies nothing.
+    if (!this->view.apply(update, this->world.now))
+        return;
+    this->readAt = std::max(this->readAt, update.requestedAt);
     const FleetView::Member *own = this->view.member(this->world.options.instance);
     if (own != nullptr)
         this->ownRevision = std::max(this->ownRevision, own->revision);
@@ -39,12 +42,40 @@
     } else if (own == nullptr && !this->registered && this->writeCall == 0) {
         this->ownRevision = 0;
     }
+    this->countInstances();
+    this->acceptVerification(update.requestedAt);
+}
+
+void RegistrationSystem::membersReported(const FleetUpdate &update)
+{
+    if (this->registered || this->writeCall != 0)
+        return;
+    if (this->view.apply(update, this->world.now))
+        this->countInstances();
+}
+
+void RegistrationSystem::countInstances()
+{
     const auto &members = this->view.members();
     const auto present = std::count_if(members.begin(), members.end(),
                                        [](const auto &entry) { return !entry.second.record.isEvicted(); });
     this->world.instances = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(present, 1));
+}
 
-    this->acceptVerification(update.requestedAt);
+void RegistrationSystem::serversListed()
+{
+    this->world.serversListed = true;
+    this->updateServing();
+}
+
+void RegistrationSystem::updateServing()
+{
+    if (!this->registered || this->viewVerifiedAt.count() == 0 || !this->world.serversListed)
+        return;
+    // From now on this instance may accept results of primaries, also for relayed work.
+    this->world.role = FleetRole::Member;
+    if (this->desired.state == MemberState::Joining)
+        this->desired.state = MemberState::Serving;
 }
 
 void RegistrationSystem::acceptVerification(TimePoint requestedAt)
@@ -63,10 +94,7 @@
         return;
     }
     this->viewVerifiedAt = std::max(this->viewVerifiedAt, requestedAt);
-    // From now on this instance may accept results of primaries, also for relayed work.
-    this->world.role = FleetRole::Member;
-    if (this->desired.state == MemberState::Joining)
-        this->desired.state = MemberState::Serving;
+    this->updateServing();
 }
 
 void RegistrationSystem::resetVerification()
@@ -152,14 +180,23 @@
     if (!this->vacancyFound)
         this->vacancySince = this->world.now;
     this->vacancyFound = true;
-    const std::size_t slot = std::hash<std::string>{}(pool.instance) % this->options.registrationSlots;
-    const TimePoint due = this->vacancySince + this->options.registrationSlotInterval * static_cast<std::int64_t>(slot);
-    if (this->world.now >= due)
-        return true;
-    this->world.timers.add(due, TimerKind::Vacancy);
+    if (this->isVacancyDue())
+        return this->readAt >= this->vacancyDue();
+    this->world.timers.add(this->vacancyDue(), TimerKind::Vacancy);
     return false;
 }
 
+TimePoint RegistrationSystem::vacancyDue() const
+{
+    const std::size_t slot = std::hash<std::string>{}(this->world.options.instance) % this->options.registrationSlots;
+    return this->vacancySince + this->options.registrationSlotInterval * static_cast<std::int64_t>(slot);
+}
+
+bool RegistrationSystem::isVacancyDue() const
+{
+    return this->vacancyFound && this->world.now >= this->vacancyDue();
+}
+
 bool RegistrationSystem::isTimedOut(const std::string &member) const
 {
     // The record of a member that has ended for good remains in the store until a primary is replaced.
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -25,7 +25,13 @@
     RegistrationSystem(PoolWorld &poolWorld, LeadershipOptions leadershipOptions);
 
     void start(std::uint64_t incarnation);
+    /// \a update was read from the store.
     void fleetUpdated(const FleetUpdate &update);
+    /// A member has reported the fleet's members. Ignored by an instance that is or becomes a member itself, because it
+    /// needs the store's own answers.
+    void membersReported(const FleetUpdate &update);
+    /// The directory entries of the backend servers were listed, which a member needs before it can serve.
+    void serversListed();
     /// Returns true if the outcome belongs to a write of this system.
     bool writeFinished(const WriteOutcome &outcome);
     /// Registers this instance if it is permitted to, and writes changes of its member object.
@@ -52,6 +58,9 @@
     }
     /// True if there is a vacancy for a member and this instance waits for its time slot to register.
     [[nodiscard]] bool awaitsVacancy() const { return this->vacancyFound; }
+    /// True if that time slot has come. The members must then be read from the store once more, as the registration of
+    /// an instance with an earlier slot may have filled the vacancy.
+    [[nodiscard]] bool isVacancyDue() const;
     /// Time at which the store last showed the state that this instance has; 0: not verified.
     [[nodiscard]] TimePoint verifiedAt() const { return this->viewVerifiedAt; }
     /// True if verifiedAt() is recent enough to replace a primary (LeadershipOptions::maxFleetViewAge).
@@ -69,6 +78,11 @@
     /// True if this instance has not reached the member for LeadershipOptions::memberTimeout.
     [[nodiscard]] bool isTimedOut(const std::string &member) const;
     [[nodiscard]] bool hasOtherMembers() const;
+    [[nodiscard]] TimePoint vacancyDue() const;
+    /// Counts the members that share the servers' connections.
+    void countInstances();
+    /// Starts to serve as a member once the leadership is verified and the servers are known.
+    void updateServing();
 
     PoolWorld &world;
     LeadershipOptions options;
@@ -84,6 +98,7 @@
     TimePoint writeAgainAt{0}; ///< no write before, after a failed one
     bool vacancyFound = false; ///< see awaitsVacancy()
     TimePoint vacancySince{0};
+    TimePoint readAt{0};         ///< the view reflects the store at this time or later; 0: not read yet
     TimePoint viewVerifiedAt{0}; ///< see verifiedAt()
 };
 
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -39,6 +39,8 @@
     bool writeFinished(const WriteOutcome &outcome);
     /// Returns true if the outcome belongs to a promotion of this system.
     bool promotionFinished(const PromotionOutcome &outcome);
+    /// True while this instance replaces a primary.
+    [[nodiscard]] bool isReplacing() const { return !this->replacements.empty(); }
     void statusReceived(ServerId server, const std::optional<ReplicationStatus> &status);
 
 private:
--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -45,8 +45,8 @@
     const auto found = this->world.serviceByName.find(session.route->service);
     if (found != this->world.serviceByName.end())
         return found->second;
-    // The service may be unknown at a relaying instance; its work goes to the members.
-    return this->world.isRelaying() ? this->world.relayService : ServiceId{};
+    // The service is unknown at a relaying instance, whose work goes to the members, and right after the start.
+    return this->world.isRelaying() || !this->world.serversListed ? this->world.relayService : ServiceId{};
 }
 
 std::string DispatchSystem::describePrimary(const SessionRow &session) const
@@ -126,6 +126,8 @@
         return false;
     if (this->world.isRelaying())
         return this->relay(id);
+    if (serviceId == this->world.relayService)
+        return false;
     if (session.work->needsPrimary) {
         if (!this->chooser.primaryUsable(serviceId))
             return false;
@@ -343,6 +345,20 @@
         this->dispatchQueue(id);
 }
 
+void DispatchSystem::dispatchUnassigned()
+{
+    if (this->world.isRelaying()) {
+        this->dispatchQueued(this->world.relayService);
+        return;
+    }
+    std::vector<SessionId> waiting;
+    waiting.swap(this->world.services.at(this->world.relayService).queue);
+    for (const SessionId id : waiting) {
+        this->world.sessions.at(id).work->queue = ServiceId{};
+        this->submit(id);
+    }
+}
+
 void DispatchSystem::dispatchQueue(ServiceId serviceId)
 {
     // Empty the queue first, since an attempt may queue work again.
--- a/src/pool/dispatchsystem.h
+++ b/src/pool/dispatchsystem.h
@@ -48,6 +48,9 @@
 
     /// Sends queued work of a service while there are free links.
     void dispatchQueued(ServiceId service);
+    /// This instance's role or the known services have changed: work that waits for no service in particular is sent,
+    /// or moved to the queue of its service.
+    void dispatchUnassigned();
     /// Removes the user of a link. Does not end a transaction that is open on the link.
     void detach(LinkId link);
     /// Frees a link that has no open transaction, and dispatches queued work. Closes the link if this instance's role
@@ -63,8 +66,8 @@
 
     /// Describes the primary of the session's service for logs: id, epoch, last verification, links, queue length.
     [[nodiscard]] std::string describePrimary(const SessionRow &session) const;
-    /// Service whose queue the session's work uses: that of its route, or that of the members at a relaying instance.
-    /// Invalid if it is not known.
+    /// Service whose queue the session's work uses: that of its route, or that of the members at a relaying instance and
+    /// until this instance knows its role and the servers. Invalid if the service is unknown.
     [[nodiscard]] ServiceId serviceOf(const SessionRow &session) const;
 
 private:
--- /dev/null
+++ b/src/pool/feedpublisher.cpp
@@ -0,0 +1,76 @@
+#include "pool/feedpublisher.h"
+
+#include "leadership/registrationsystem.h"
+#include "pool/feedupdate.h"
+#include "pool/poolworld.h"
+
+#include <utility>
+
+namespace Jujubekeel {
+
+void FeedPublisher::subscribe(SessionId session, std::string_view requestText)
+{
+    const auto request = FeedRequest::fromText(requestText);
+    if (!request) {
+        this->refuse(session, "invalid request for changes");
+        return;
+    }
+    std::erase_if(this->held, [&](const Subscription &other) { return other.session == session; });
+    const Subscription subscription{.session = session, .request = *request, .since = this->world.now};
+    if (this->answer(subscription))
+        return;
+    this->held.push_back(subscription);
+    this->world.timers.add(this->world.now + this->world.options.feedHold, TimerKind::Feed);
+}
+
+void FeedPublisher::publish()
+{
+    std::erase_if(this->held, [this](const Subscription &subscription) {
+        return !this->world.sessions.contains(subscription.session) || this->answer(subscription);
+    });
+}
+
+bool FeedPublisher::answer(const Subscription &subscription)
+{
+    // Without a registration the view is not kept up to date.
+    if (!this->registration.isRegistered() || this->registration.verifiedAt().count() == 0) {
+        this->refuse(subscription.session, "this instance is not a member at present");
+        return true;
+    }
+    const FleetView &view = this->registration.fleet();
+    const FeedRequest &known = subscription.request;
+    const std::uint64_t version = this->world.routes ? this->world.routes->version() : 0;
+    const bool newRoutes = version > known.routeVersion;
+    const bool newMembers = view.revision() > known.memberRevision && view.memberDigest() != known.memberDigest;
+    // An instance that no longer reaches the store says so at once, so that its subscribers can ask another one.
+    const bool outdated = this->world.now - this->registration.verifiedAt() > this->world.options.feedMaxAge;
+    const bool holdEnded = this->world.now - subscription.since >= this->world.options.feedHold;
+    if (!newRoutes && !newMembers && !outdated && !holdEnded)
+        return false;
+
+    FeedUpdate update{.verifiedAfter = this->registration.verifiedAt() - subscription.since,
+                      .routeVersion = version,
+                      .routes = newRoutes ? this->world.routes : nullptr,
+                      .memberRevision = view.revision()};
+    if (newMembers) {
+        update.members.emplace();
+        for (const auto &[instance, member] : view.members())
+            update.members->push_back(FleetObject{.name = FleetView::memberName(instance),
+                                                  .revision = member.revision,
+                                                  .content = member.record.toText()});
+    }
+    this->world.counters.add("jujubekeel_pool_feed_answers_total");
+    this->world.emit(ReplyToCaller{
+        .session = subscription.session,
+        .reply = CallerReply{.rows = {update.toText(this->world.options.feedTextLimit)}, .digest = {}, .error = {}}});
+    return true;
+}
+
+void FeedPublisher::refuse(SessionId session, std::string_view reason)
+{
+    this->world.emit(ReplyToCaller{
+        .session = session,
+        .reply = CallerReply{.error = OutcomeError{.code = OutcomeCode::Busy, .text = std::string(reason)}}});
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/feedrequest.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Jujubekeel {
+
+/// What a relaying instance knows when it asks a member for changes of the configuration and of the fleet's members.
+struct FeedRequest
+{
+    std::uint64_t routeVersion = 0;   ///< configuration in force; 0: none
+    std::uint64_t memberRevision = 0; ///< FleetView::memberRevision()
+    std::uint64_t memberDigest = 0;   ///< FleetView::memberDigest()
+
+    /// JSON text without line breaks.
+    [[nodiscard]] std::string toText() const;
+    /// Empty if \a text is invalid.
+    [[nodiscard]] static std::optional<FeedRequest> fromText(std::string_view text);
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/feedsubscriber.cpp
@@ -0,0 +1,154 @@
+#include "pool/feedsubscriber.h"
+
+#include "leadership/registrationsystem.h"
+#include "pool/dispatchsystem.h"
+#include "pool/feedrequest.h"
+#include "pool/feedupdate.h"
+#include "pool/poolworld.h"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace Jujubekeel {
+
+FeedSubscriber::FeedSubscriber(PoolWorld &poolWorld, LinkSystem &linkSystem, DispatchSystem &dispatchSystem,
+                               const RegistrationSystem &registrationSystem, Callbacks feedCallbacks)
+    : world(poolWorld), links(linkSystem), dispatch(dispatchSystem), registration(registrationSystem),
+      callbacks(std::move(feedCallbacks))
+{
+}
+
+void FeedSubscriber::advance()
+{
+    const LinkRow *open = this->world.links.find(this->link);
+    if (!this->world.isRelaying() || this->registration.isRegistered()) {
+        if (open != nullptr)
+            this->links.close(this->link, LinkEnd::Closed);
+        this->link = LinkId{};
+        this->relayingSince = TimePoint{0};
+        this->verifiedAt = TimePoint{0};
+        return;
+    }
+    if (this->relayingSince.count() == 0) {
+        this->relayingSince = this->world.now;
+        this->world.timers.add(this->world.now + this->fallbackAfter(), TimerKind::Feed);
+    }
+    if (open != nullptr && !this->world.servers.at(open->server).entry.draining)
+        return;
+    if (open != nullptr) {
+        // The member is stopping; the next answer would not come.
+        if (!this->chooseSource().isValid())
+            return;
+        this->links.close(this->link, LinkEnd::Closed);
+    } else if (this->link.isValid()) {
+        this->leaveSource("the connection was lost");
+    }
+    this->link = LinkId{};
+
+    const ServerId member = this->chooseSource();
+    if (!member.isValid())
+        return;
+    const LinkId freeLink = this->links.findFree(member, SessionId{});
+    if (freeLink.isValid())
+        this->sendRequest(freeLink);
+    else
+        this->links.ensureOpening(member);
+}
+
+ServerId FeedSubscriber::chooseSource() const
+{
+    const PoolOptions &options = this->world.options;
+    // Work in the own domain and region costs least; the hash spreads the instances over their members.
+    std::optional<std::tuple<bool, int, std::size_t, ServerId>> best;
+    for (const auto &[instance, id] : this->world.memberById) {
+        const ServerRow &row = this->world.servers.at(id);
+        const auto paused = this->pausedUntil.find(instance);
+        const bool isPaused = paused != this->pausedUntil.end() && this->world.now < paused->second;
+        const bool unreachable = row.unreachableSince.count() != 0 && this->world.now < row.retryAt;
+        if (row.entry.draining || isPaused || unreachable)
+            continue;
+        const auto region = options.regionOf.find(row.entry.failureDomain);
+        const bool sameRegion = region != options.regionOf.end() && region->second == options.region;
+        const int distance = row.entry.failureDomain == options.failureDomain ? 0 : sameRegion ? 1 : 2;
+        const std::tuple candidate(row.silence(this->world.now) > options.relaySilence, distance,
+                                   std::hash<std::string>{}(options.instance + instance), id);
+        if (!best || candidate < *best)
+            best = candidate;
+    }
+    return best ? std::get<ServerId>(*best) : ServerId{};
+}
+
+void FeedSubscriber::sendRequest(LinkId freeLink)
+{
+    this->link = freeLink;
+    this->source = this->world.servers.at(this->world.links.at(freeLink).server).entry.id;
+    const FleetView &view = this->registration.fleet();
+    const FeedRequest request{.routeVersion = this->world.routes ? this->world.routes->version() : 0,
+                              .memberRevision = view.memberRevision(),
+                              .memberDigest = view.memberDigest()};
+    this->links.send(freeLink, ExchangeKind::Subscribe,
+                     ServerCommand{.kind = CommandKind::Subscribe, .argument = request.toText()});
+    const PoolOptions &options = this->world.options;
+    this->links.setDeadline(freeLink, this->world.now + options.feedHold + options.feedAnswerTimeout);
+}
+
+void FeedSubscriber::received(LinkId answered, const CompletedExchange &completed)
+{
+    this->link = LinkId{};
+    const Exchange &exchange = completed.exchange;
+    const auto update = exchange.rows.size() == 1 ? FeedUpdate::fromText(exchange.rows.front()) : std::nullopt;
+    // The link is free before the callbacks, which may remove the member.
+    this->dispatch.releaseLink(answered);
+    if (exchange.error || !update) {
+        this->leaveSource(exchange.error ? exchange.error->text : "invalid answer");
+        this->advance();
+        return;
+    }
+
+    // Apply the report. What is older than the own state is ignored by those who own that state.
+    const TimePoint verified = exchange.sentAt + update->verifiedAfter;
+    this->reportedVersion = std::max(this->reportedVersion, update->routeVersion);
+    if (update->members)
+        this->callbacks.members(FleetUpdate{
+            .complete = true, .reported = true, .objects = *update->members, .revision = update->memberRevision});
+    if (update->routes)
+        this->callbacks.routes(update->routes);
+    if (this->world.now - verified > this->world.options.feedMaxAge) {
+        this->leaveSource("its view of the store is out of date");
+    } else {
+        this->verifiedAt = std::max(this->verifiedAt, verified);
+        this->world.timers.add(this->verifiedAt + this->fallbackAfter(), TimerKind::Feed);
+    }
+    this->advance();
+}
+
+void FeedSubscriber::leaveSource(const std::string &reason)
+{
+    this->pausedUntil[this->source] = this->world.now + this->world.options.feedSourcePause;
+    this->world.timers.add(this->pausedUntil[this->source], TimerKind::Feed);
+    this->world.counters.add("jujubekeel_pool_feed_sources_left_total");
+    this->world.log(LogLevel::Info, "feed-source-left", {{"member", this->source}, {"reason", reason}});
+}
+
+Duration FeedSubscriber::fallbackAfter() const
+{
+    const PoolOptions &options = this->world.options;
+    const auto spread = static_cast<std::size_t>(options.feedFallbackSpread.count());
+    const std::size_t offset = spread == 0 ? 0 : std::hash<std::string>{}(options.instance) % spread;
+    return options.feedFallback + Duration(static_cast<std::int64_t>(offset));
+}
+
+bool FeedSubscriber::isCurrent() const
+{
+    return this->relayingSince.count() != 0
+           && this->world.now - std::max(this->verifiedAt, this->relayingSince) < this->fallbackAfter();
+}
+
+bool FeedSubscriber::isRouteTableMissing() const
+{
+    return this->reportedVersion > (this->world.routes ? this->world.routes->version() : 0);
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/feedsubscriber.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/time.h"
+#include "pool/linksystem.h"
+#include "pool/poolids.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Jujubekeel {
+
+class DispatchSystem;
+class RegistrationSystem;
+class RouteTable;
+struct FleetUpdate;
+struct PoolWorld;
+
+/// Relaying side of the change feed: keeps one request outstanding at a member, in the own failure domain if possible,
+/// and passes on what the answers report. While the reports are current, this instance does not read the store. A
+/// member that does not answer, or no longer reaches the store itself, is replaced by another one. Owned by PoolCore.
+class FeedSubscriber final
+{
+public:
+    struct Callbacks
+    {
+        std::function<void(std::shared_ptr<const RouteTable> routes)> routes;
+        std::function<void(const FleetUpdate &update)> members;
+    };
+
+    FeedSubscriber(PoolWorld &poolWorld, LinkSystem &linkSystem, DispatchSystem &dispatchSystem,
+                   const RegistrationSystem &registrationSystem, Callbacks feedCallbacks);
+
+    /// Sends the next request if none is outstanding; called after each input that may have changed the members, their
+    /// links or this instance's role.
+    void advance();
+    /// Handles the answer to a request.
+    void received(LinkId link, const CompletedExchange &completed);
+    /// True while the members' reports are recent enough that the store need not be read.
+    [[nodiscard]] bool isCurrent() const;
+    /// True if a newer configuration is known to exist that was too large to be reported.
+    [[nodiscard]] bool isRouteTableMissing() const;
+
+private:
+    /// The member to ask; invalid if there is none.
+    [[nodiscard]] ServerId chooseSource() const;
+    void leaveSource(const std::string &reason);
+    void sendRequest(LinkId freeLink);
+    [[nodiscard]] Duration fallbackAfter() const;
+
+    PoolWorld &world;
+    LinkSystem &links;
+    DispatchSystem &dispatch;
+    const RegistrationSystem &registration;
+    Callbacks callbacks;
+    LinkId link;        ///< on which a request is outstanding; invalid or stale: there is none
+    std::string source; ///< member that was last asked
+    std::map<std::string, TimePoint> pausedUntil; ///< by member: not asked before
+    TimePoint verifiedAt{0};           ///< the reports reflect the store at this time or later; 0: no report yet
+    TimePoint relayingSince{0};        ///< 0: not relaying
+    std::uint64_t reportedVersion = 0; ///< highest version of the configuration that a member reported
+};
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/feedupdate.cpp
@@ -0,0 +1,50 @@
+#include "pool/feedupdate.h"
+
+#include "catalog/routejson.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Jujubekeel {
+
+std::string FeedUpdate::toText(std::size_t limit) const
+{
+    nlohmann::json root{{"verifiedAfterUs", this->verifiedAfter.count()},
+                        {"routeVersion", this->routeVersion},
+                        {"memberRevision", this->memberRevision}};
+    if (this->members) {
+        auto listed = nlohmann::json::array();
+        for (const FleetObject &object : *this->members)
+            listed.push_back({{"name", object.name}, {"revision", object.revision}, {"content", object.content}});
+        root["members"] = std::move(listed);
+    }
+    std::string text = root.dump();
+    if (!this->routes)
+        return text;
+    root["routes"] = toJson(*this->routes);
+    std::string complete = root.dump();
+    return complete.size() > limit ? text : complete;
+}
+
+std::optional<FeedUpdate> FeedUpdate::fromText(std::string_view text)
+{
+    try {
+        const auto root = nlohmann::json::parse(text.begin(), text.end());
+        FeedUpdate update{.verifiedAfter = Duration(root.at("verifiedAfterUs").get<std::int64_t>()),
+                          .routeVersion = root.at("routeVersion").get<std::uint64_t>(),
+                          .memberRevision = root.at("memberRevision").get<std::uint64_t>()};
+        if (root.contains("routes"))
+            update.routes = routeTableFromJson(root.at("routes"));
+        if (!root.contains("members"))
+            return update;
+        update.members.emplace();
+        for (const auto &object : root.at("members"))
+            update.members->push_back(FleetObject{.name = object.at("name").get<std::string>(),
+                                                  .revision = object.at("revision").get<std::uint64_t>(),
+                                                  .content = object.at("content").get<std::string>()});
+        return update;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/pool/feedupdate.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "catalog/routetable.h"
+#include "core/time.h"
+#include "leadership/fleetmessages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jujubekeel {
+
+/// Answer of a member to a FeedRequest.
+struct FeedUpdate
+{
+    /// The store last confirmed the member's view this long after the request arrived; negative: before. Only a
+    /// duration, because clocks of two instances are not compared.
+    Duration verifiedAfter{0};
+    std::uint64_t routeVersion = 0;           ///< configuration in force at the member; 0: none
+    std::shared_ptr<const RouteTable> routes; ///< null: the receiver has this version, or the table is too large
+    std::uint64_t memberRevision = 0;
+    std::optional<std::vector<FleetObject>> members; ///< all members, if they differ from those of the receiver
+
+    /// JSON text without line breaks. Leaves out the routes if it would be longer than \a limit bytes.
+    [[nodiscard]] std::string toText(std::size_t limit) const;
+    /// Empty if \a text is invalid.
+    [[nodiscard]] static std::optional<FeedUpdate> fromText(std::string_view text);
+};
+
+} // namespace Jujubekeel
--- a/src/pool/linkrow.h
+++ b/src/pool/linkrow.h
@@ -23,8 +23,9 @@
     Begin,
     Statement,
     Rollback,
-    Position, ///< requests the log position of the primary
-    Status,   ///< requests the replication status
+    Position,  ///< requests the log position of the primary
+    Status,    ///< requests the replication status
+    Subscribe, ///< to a member: held until the configuration or the members change
 };
 
 /// One request on a link, and the part of its response that has arrived.
--- a/src/pool/linksystem.cpp
+++ b/src/pool/linksystem.cpp
@@ -125,7 +125,8 @@
     LinkRow &row = this->world.links.at(link);
     ServerRow &server = this->world.servers.at(row.server);
     row.exchanges.push_back(Exchange{.kind = kind, .sentAt = this->world.now});
-    if (server.awaitingAnswerSince.count() == 0)
+    // A member holds a subscription until there is news, so that its silence means nothing.
+    if (kind != ExchangeKind::Subscribe && server.awaitingAnswerSince.count() == 0)
         server.awaitingAnswerSince = this->world.now;
     this->world.emit(SendCommand{.link = link, .command = std::move(command)});
 }
@@ -219,8 +220,11 @@
 void LinkSystem::restartSilence(ServerId id)
 {
     ServerRow &server = this->world.servers.at(id);
-    const bool outstanding = std::any_of(server.links.begin(), server.links.end(),
-                                         [this](LinkId link) { return !this->world.links.at(link).exchanges.empty(); });
+    const bool outstanding = std::any_of(server.links.begin(), server.links.end(), [this](LinkId link) {
+        const auto &exchanges = this->world.links.at(link).exchanges;
+        return std::any_of(exchanges.begin(), exchanges.end(),
+                           [](const Exchange &exchange) { return exchange.kind != ExchangeKind::Subscribe; });
+    });
     server.awaitingAnswerSince = outstanding ? this->world.now : TimePoint{0};
 }
 
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -15,11 +15,16 @@
     : links(this->world),
       dispatch(this->world, this->links,
                [this](SessionId session, CallerReply reply) { this->sessions.finished(session, std::move(reply)); }),
-      results(this->world, this->links, this->dispatch), sessions(this->world, this->dispatch),
+      results(this->world, this->links, this->dispatch), feedPublisher(this->world, this->registration),
+      sessions(this->world, this->dispatch, this->feedPublisher),
       directory(this->world, this->links, this->dispatch, this->results), registration(this->world, leadershipOptions),
       leadership(this->world, this->dispatch, this->results, this->registration, leadershipOptions),
       replacement(this->world, this->links, this->leadership, this->registration, leadershipOptions),
-      relay(this->world, this->links, this->results)
+      relay(this->world, this->links, this->results),
+      feedSubscriber(
+          this->world, this->links, this->dispatch, this->registration,
+          {.routes = [this](std::shared_ptr<const RouteTable> routes) { this->applyRoutes(std::move(routes)); },
+           .members = [this](const FleetUpdate &update) { this->membersReported(update); }})
 {
     this->world.options = std::move(options);
 }
@@ -27,6 +32,8 @@
 void PoolCore::start(TimePoint now, std::uint64_t incarnation)
 {
     this->world.now = now;
+    this->startedAt = now;
+    this->world.timers.add(now + this->world.options.feedFallback, TimerKind::Feed);
     this->relay.start();
     this->registration.start(incarnation);
     this->leadership.start();
@@ -88,6 +95,12 @@
         return;
     if (completed->exchange.kind == ExchangeKind::Status)
         this->replacement.statusReceived(this->world.links.at(link).server, completed->exchange.status);
+    if (completed->exchange.kind == ExchangeKind::Subscribe) {
+        this->feedSubscriber.received(link, *completed);
+        // A member that no longer answers may leave a vacancy, which no report shows.
+        this->updateRole();
+        return;
+    }
     if (completed->exchange.kind != ExchangeKind::Open) {
         this->results.exchangeCompleted(link, std::move(*completed));
         return;
@@ -98,6 +111,7 @@
     }
     this->links.greeted(link);
     this->dispatch.releaseLink(link);
+    this->feedSubscriber.advance();
 }
 
 void PoolCore::linkDisconnected(TimePoint now, LinkId link, LinkEnd end)
@@ -105,11 +119,17 @@
     this->world.now = now;
     if (this->world.links.contains(link))
         this->results.linkLost(link, end);
+    this->feedSubscriber.advance();
 }
 
 void PoolCore::routesReceived(TimePoint now, std::shared_ptr<const RouteTable> routes)
 {
     this->world.now = now;
+    this->applyRoutes(std::move(routes));
+}
+
+void PoolCore::applyRoutes(std::shared_ptr<const RouteTable> routes)
+{
     const std::uint64_t current = this->world.routes ? this->world.routes->version() : 0;
     if (routes->version() <= current)
         return;
@@ -119,7 +139,9 @@
                      {"earlier", std::to_string(current)},
                      {"routes", std::to_string(this->world.routes->size())}});
     this->directory.servicesChanged();
+    this->sessions.routesReceived();
     this->updateRole();
+    this->feedPublisher.publish();
 }
 
 void PoolCore::entryChanged(TimePoint now, const ServerEntry &entry)
@@ -140,7 +162,9 @@
 {
     this->world.now = now;
     this->directory.entriesListed(entries);
+    this->registration.serversListed();
     this->leadership.serversChanged();
+    this->updateRole();
 }
 
 void PoolCore::fleetUpdated(TimePoint now, const FleetUpdate &update)
@@ -148,11 +172,27 @@
     this->world.now = now;
     this->registration.fleetUpdated(update);
     this->leadership.fleetUpdated();
-    this->relay.update(this->registration.fleet());
+    this->fleetChanged();
     this->links.closeSurplus();
     this->replacement.advance();
-    if (this->world.isRelaying())
-        this->dispatch.dispatchQueued(this->world.relayService);
+    this->feedPublisher.publish();
+}
+
+void PoolCore::membersReported(const FleetUpdate &update)
+{
+    this->registration.membersReported(update);
+    this->registration.publish();
+    this->fleetChanged();
+}
+
+void PoolCore::fleetChanged()
+{
+    this->relay.update(this->registration.fleet());
+    // Entries that are no longer followed may name servers that have left, so they have to be listed again before use.
+    if (this->world.isRelaying() && !this->registration.awaitsVerification())
+        this->world.serversListed = false;
+    this->feedSubscriber.advance();
+    this->dispatch.dispatchUnassigned();
 }
 
 void PoolCore::writeFinished(TimePoint now, const WriteOutcome &outcome)
@@ -160,7 +200,7 @@
     this->world.now = now;
     if (!this->registration.writeFinished(outcome))
         this->replacement.writeFinished(outcome);
-    this->relay.update(this->registration.fleet());
+    this->fleetChanged();
 }
 
 void PoolCore::promotionFinished(TimePoint now, const PromotionOutcome &outcome)
@@ -183,6 +223,9 @@
         this->results.checkWithheld(SessionId::fromPacked(entry.subject));
         this->dispatch.checkWait(SessionId::fromPacked(entry.subject));
         return;
+    case TimerKind::SessionOpening:
+        this->sessions.checkOpening(SessionId::fromPacked(entry.subject));
+        return;
     case TimerKind::TransactionIdle:
         this->sessions.checkIdleTransaction(SessionId::fromPacked(entry.subject));
         return;
@@ -191,6 +234,7 @@
         const LinkRow *row = this->world.links.find(link);
         if (row != nullptr && row->deadline.count() != 0 && this->world.now >= row->deadline)
             this->results.linkLost(link, LinkEnd::Silent);
+        this->feedSubscriber.advance();
         return;
     }
     case TimerKind::ServerRetry: {
@@ -201,6 +245,7 @@
         if (row.links.empty() || row.lastAnswerAt < row.connectionLostAt)
             this->links.ensureOpening(server);
         this->dispatch.dispatchQueued(this->world.servers.at(server).service);
+        this->feedSubscriber.advance();
         return;
     }
     case TimerKind::ServerMissing:
@@ -220,6 +265,10 @@
     case TimerKind::ServiceCheck:
         this->dispatch.dispatchQueued(ServiceId::fromPacked(entry.subject));
         return;
+    case TimerKind::Feed:
+        this->feedPublisher.publish();
+        this->feedSubscriber.advance();
+        return;
     case TimerKind::Stop:
         this->handleStop();
         return;
@@ -229,7 +278,7 @@
 void PoolCore::updateRole()
 {
     this->registration.publish();
-    this->relay.update(this->registration.fleet());
+    this->fleetChanged();
 }
 
 void PoolCore::handleStop()
@@ -257,12 +306,26 @@
     this->world.timers.add(now + this->world.options.stopDrainDelay, TimerKind::Stop);
 }
 
-FleetWatchMode PoolCore::fleetWatchMode() const
+WatchPlan PoolCore::watchPlan() const
 {
-    if (this->registration.awaitsVerification())
-        return FleetWatchMode::Initial;
-    return this->world.isRelaying() && !this->registration.awaitsVacancy() ? FleetWatchMode::Batched
-                                                                           : FleetWatchMode::Continuous;
+    const bool awaitsVerification = this->registration.awaitsVerification();
+    const bool joins = this->registration.isRegistered() || awaitsVerification;
+    if (joins || this->world.role == FleetRole::Member)
+        return WatchPlan{.fleet = awaitsVerification                ? FleetWatchMode::Initial
+                                  : this->replacement.isReplacing() ? FleetWatchMode::Replacing
+                                                                    : FleetWatchMode::Continuous,
+                         .servers = true};
+    // The role is usually decided within a second, and a configuration that was just read need not be followed until
+    // then.
+    const bool decides = this->world.role == FleetRole::Undecided && this->world.routes != nullptr
+                         && this->world.now - this->startedAt < this->world.options.feedFallback;
+    const bool reported = decides || this->feedSubscriber.isCurrent();
+    WatchPlan plan{.routes = !reported || this->feedSubscriber.isRouteTableMissing()};
+    if (this->registration.isVacancyDue())
+        plan.fleet = FleetWatchMode::Initial;
+    else if ((reported && this->world.isRelaying()) || this->registration.awaitsVacancy())
+        plan.fleet = FleetWatchMode::Suspended;
+    return plan;
 }
 
 bool PoolCore::isStopped() const
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -6,6 +6,8 @@
 #include "leadership/replacementsystem.h"
 #include "pool/directorysystem.h"
 #include "pool/dispatchsystem.h"
+#include "pool/feedpublisher.h"
+#include "pool/feedsubscriber.h"
 #include "pool/linksystem.h"
 #include "pool/poolworld.h"
 #include "pool/relaysystem.h"
@@ -25,7 +27,18 @@
 enum class FleetWatchMode : std::uint8_t {
     Initial,    ///< until leadership is verified for the first time: short watches
     Continuous, ///< each watch that ends verifies that no primary is being replaced
+    Replacing,  ///< as Continuous, without a pause between updates: this instance replaces a primary
     Batched,    ///< at a relaying instance: long watches, with a pause after each update
+    Suspended,  ///< not at all; the objects are listed again when the mode changes
+};
+
+/// What an instance has to follow in the store at present.
+struct WatchPlan
+{
+    FleetWatchMode fleet = FleetWatchMode::Batched;
+    bool routes = true;   ///< the configuration
+    bool servers = false; ///< the entries of the backend servers
+    bool operator==(const WatchPlan &) const = default;
 };
 
 /// Decision logic of one instance for callers' statements. Uses no socket, clock, thread or random source: its owner
@@ -80,8 +93,8 @@
     /// Reply to the load balancer's readiness check: it may send new callers to this instance.
     [[nodiscard]] bool isReady() const;
 
-    /// How the fleet's objects must be watched at present.
-    [[nodiscard]] FleetWatchMode fleetWatchMode() const;
+    /// What must be followed in the store at present. A kind that is followed again after a pause must first be listed.
+    [[nodiscard]] WatchPlan watchPlan() const;
 
     /// Actions since the last call, in order.
     [[nodiscard]] PoolActions takeActions();
@@ -92,17 +105,24 @@
     void handleStop();
     /// Registers this instance as a member if it may, and applies its role in the fleet.
     void updateRole();
+    /// The members of the fleet or this instance's role may have changed.
+    void fleetChanged();
+    void membersReported(const FleetUpdate &update);
+    void applyRoutes(std::shared_ptr<const RouteTable> routes);
 
     PoolWorld world;
     LinkSystem links;
     DispatchSystem dispatch;
     ResultSystem results;
+    FeedPublisher feedPublisher;
     SessionSystem sessions;
     DirectorySystem directory;
     RegistrationSystem registration;
     LeadershipSystem leadership;
     ReplacementSystem replacement;
     RelaySystem relay;
+    FeedSubscriber feedSubscriber;
+    TimePoint startedAt{0};
 };
 
 } // namespace Jujubekeel
--- a/src/pool/poolmessages.h
+++ b/src/pool/poolmessages.h
@@ -56,6 +56,7 @@
     PrepareWrite, ///< name, argument: the statement's text
     UseRoute,     ///< to a member; argument: a RelayedRoute
     ResetSession, ///< clears values and prepared statements; the response carries the log position
+    Subscribe,    ///< to a member; argument: a FeedRequest
     Status,
     PauseReplication, ///< term: above the newest one
     ResumeReplication,
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -27,8 +27,18 @@
     std::uint32_t relayTargets = 3; ///< members to which one instance relays, those with the shortest wait
     Duration relaySilence = std::chrono::milliseconds(500); ///< a member without an answer for this long is used last
 
+    // Configuration and members of the fleet, as members report them to relaying instances.
+    Duration feedHold = std::chrono::milliseconds(700);          ///< without news a request is answered after this time
+    Duration feedAnswerTimeout = std::chrono::milliseconds(600); ///< added to feedHold; then another member is asked
+    Duration feedMaxAge = std::chrono::milliseconds(1500);       ///< a member with an older view of the store is left
+    Duration feedFallback = std::chrono::milliseconds(2200); ///< without a current report the store is read directly
+    Duration feedFallbackSpread = std::chrono::milliseconds(500); ///< added to feedFallback, differs by instance
+    Duration feedSourcePause = std::chrono::seconds(2);  ///< a member that has failed is not asked again before
+    std::size_t feedTextLimit = std::size_t{256} * 1024; ///< bytes; a larger configuration is read from the store
+
     Duration queueWait = std::chrono::milliseconds(800);         ///< wait for a connection before Busy
     Duration primaryWait = std::chrono::milliseconds(1800);      ///< the same while the primary is unavailable
+    Duration openWait = std::chrono::milliseconds(1500);         ///< a new session waits for the first configuration
     Duration openTimeout = std::chrono::milliseconds(1000);      ///< of connect and greeting together
     Duration initialRetryDelay = std::chrono::milliseconds(100); ///< after a failed connect; doubles
     Duration maxRetryDelay = std::chrono::milliseconds(800);
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -44,6 +44,7 @@
     FleetRole role = FleetRole::Undecided;
     std::shared_ptr<const RouteTable> routes; ///< null: no configuration has been received
     std::uint32_t instances = 1;              ///< instances that share the servers' connections
+    bool serversListed = false; ///< the directory entries were listed since this instance last began to follow them
     bool stopping = false;
     TimePoint stopRequestedAt{0};
     TimerQueue timers;
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -63,7 +63,8 @@
 struct SessionRow
 {
     std::string database;
-    bool relayed = false; ///< opened by another instance, which sends the route with the work
+    bool relayed = false;      ///< opened by another instance, which sends the route with the work
+    bool awaitsRoutes = false; ///< opened before the first configuration was received; not greeted yet
     SessionState state = SessionState::Idle;
     std::shared_ptr<const Route> route; ///< of the current transaction or statement
     std::optional<TransactionState> transaction;
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -1,6 +1,7 @@
 #include "pool/sessionsystem.h"
 
 #include "pool/dispatchsystem.h"
+#include "pool/feedpublisher.h"
 #include "pool/poolworld.h"
 #include "pool/relayedroute.h"
 
@@ -54,11 +55,12 @@
     SessionRow &session = this->world.sessions.at(id);
     session.database = database;
     if (!this->world.routes) {
-        this->world.emit(
-            RefuseCaller{.session = id, .error = {.code = OutcomeCode::Busy, .text = "no configuration received yet"}});
-        this->world.sessions.erase(id);
+        // After a loss of power callers arrive before the configuration, which is usually read within milliseconds.
+        session.awaitsRoutes = true;
+        this->world.timers.add(this->world.now + this->world.options.openWait, TimerKind::SessionOpening, id.packed());
         return;
     }
+    session.awaitsRoutes = false;
     if (!this->world.routes->find(database)) {
         this->world.counters.add("jujubekeel_pool_unknown_database_total");
         this->world.emit(RefuseCaller{.session = id,
@@ -71,6 +73,29 @@
     this->world.emit(GreetCaller{.session = id});
 }
 
+void SessionSystem::routesReceived()
+{
+    std::vector<SessionId> waiting;
+    this->world.sessions.forEach([&](SessionId id, const SessionRow &session) {
+        if (session.awaitsRoutes)
+            waiting.push_back(id);
+    });
+    for (const SessionId id : waiting) {
+        this->open(id, std::string(this->world.sessions.at(id).database));
+        this->runNext(id);
+    }
+}
+
+void SessionSystem::checkOpening(SessionId id)
+{
+    const SessionRow *session = this->world.sessions.find(id);
+    if (session == nullptr || !session->awaitsRoutes)
+        return;
+    this->world.emit(
+        RefuseCaller{.session = id, .error = {.code = OutcomeCode::Busy, .text = "no configuration received yet"}});
+    this->world.sessions.erase(id);
+}
+
 void SessionSystem::openRelayed(SessionId id, const std::string &expected)
 {
     // The address may have belonged to another instance, which has ended.
@@ -89,7 +114,7 @@
 void SessionSystem::run(SessionId id, Statement statement)
 {
     SessionRow &session = this->world.sessions.at(id);
-    if (session.work || !session.backlog.empty()) {
+    if (session.work || session.awaitsRoutes || !session.backlog.empty()) {
         if (session.backlog.size() >= this->world.options.backlogLimit) {
             this->end(id);
             this->world.emit(CloseCaller{.session = id});
@@ -104,7 +129,7 @@
 void SessionSystem::runNext(SessionId id)
 {
     while (SessionRow *session = this->world.sessions.find(id)) {
-        if (session->work || session->backlog.empty())
+        if (session->work || session->awaitsRoutes || session->backlog.empty())
             return;
         Statement statement = std::move(session->backlog.front());
         session->backlog.pop_front();
@@ -121,7 +146,8 @@
                      SessionState::Failed);
         return;
     }
-    const bool relayedOnly = statement.kind == StatementKind::UseRoute || statement.kind == StatementKind::ResetSession;
+    const bool relayedOnly = statement.kind == StatementKind::UseRoute || statement.kind == StatementKind::ResetSession
+                             || statement.kind == StatementKind::Subscribe;
     if (relayedOnly && !session.relayed)
         statement.kind = StatementKind::Malformed;
     switch (statement.kind) {
@@ -133,6 +159,9 @@
         session.prepared.clear();
         this->answer(id, session.state);
         return;
+    case StatementKind::Subscribe:
+        this->feed.subscribe(id, statement.argument);
+        return;
     case StatementKind::Begin:
     case StatementKind::BeginReadOnly:
         this->begin(id, statement);
--- a/src/pool/sessionsystem.h
+++ b/src/pool/sessionsystem.h
@@ -10,6 +10,7 @@
 namespace Jujubekeel {
 
 class DispatchSystem;
+class FeedPublisher;
 struct PoolWorld;
 struct SessionRow;
 
@@ -18,12 +19,19 @@
 class SessionSystem final
 {
 public:
-    SessionSystem(PoolWorld &poolWorld, DispatchSystem &dispatchSystem) : world(poolWorld), dispatch(dispatchSystem) {}
+    SessionSystem(PoolWorld &poolWorld, DispatchSystem &dispatchSystem, FeedPublisher &feedPublisher)
+        : world(poolWorld), dispatch(dispatchSystem), feed(feedPublisher)
+    {
+    }
 
     /// Opens a caller's session on a database, or refuses it.
     void open(SessionId session, const std::string &database);
     /// Opens a session for work that another instance relays. Refuses it if \a expected is not this instance.
     void openRelayed(SessionId session, const std::string &expected);
+    /// Opens the sessions that were waiting for the first configuration.
+    void routesReceived();
+    /// Refuses a session that has waited too long for the first configuration.
+    void checkOpening(SessionId session);
     /// Runs a statement, or keeps it until the reply to the one before.
     void run(SessionId session, Statement statement);
     /// The caller has ended the session, or its connection was lost.
@@ -61,6 +69,7 @@
 
     PoolWorld &world;
     DispatchSystem &dispatch;
+    FeedPublisher &feed;
 };
 
 } // namespace Jujubekeel
--- a/src/pool/statement.h
+++ b/src/pool/statement.h
@@ -18,6 +18,7 @@
     Deallocate,
     UseRoute,     ///< relayed sessions only; argument: text of a RelayedRoute
     ResetSession, ///< relayed sessions only: clears values and prepared statements
+    Subscribe,    ///< relayed sessions only; argument: text of a FeedRequest
     Malformed,    ///< not a valid statement; it is refused
 };
 
--- a/src/pool/timerqueue.h
+++ b/src/pool/timerqueue.h
@@ -12,6 +12,7 @@
 
 enum class TimerKind : std::uint8_t {
     WorkDeadline,    ///< subject: session; also for withheld results
+    SessionOpening,  ///< subject: session
     TransactionIdle, ///< subject: session
     LinkDeadline,    ///< subject: link
     ServerRetry,     ///< subject: server
@@ -21,6 +22,7 @@
     Leadership,      ///< check of all primaries
     Vacancy,         ///< this instance may become a member
     Replacement,     ///< replacements of primaries in progress
+    Feed,            ///< change feed between members and relaying instances
 };
 
 /// Timers of the table rows, ordered by time. Timers are not cancelled: when one is due, its handler checks the row and
--- a/src/virtualpool/relayconnections.cpp
+++ b/src/virtualpool/relayconnections.cpp
@@ -42,6 +42,9 @@
     case CommandKind::UseRoute:
         statement.kind = StatementKind::UseRoute;
         break;
+    case CommandKind::Subscribe:
+        statement.kind = StatementKind::Subscribe;
+        break;
     case CommandKind::ResetSession:
         statement.kind = StatementKind::ResetSession;
         break;
--- a/src/virtualpool/statementgroup.cpp
+++ b/src/virtualpool/statementgroup.cpp
@@ -150,6 +150,7 @@
     case CommandKind::Execute:
         this->runStatement(connection, command);
         return;
+    case CommandKind::Subscribe:
     case CommandKind::UseRoute:
         this->record.misuse.push_back("a route was sent to a backend server");
         return;
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -59,14 +59,11 @@
     node.core = std::make_unique<PoolCore>(std::move(pool), this->options.leadership);
     node.boot += 1;
     node.knownRevision = 0;
+    node.plan = WatchPlan{.fleet = FleetWatchMode::Suspended, .routes = false, .servers = false};
+    node.listsFleet = false;
     node.tickAt = TimePoint{0};
     const std::uint64_t boot = node.boot;
-    this->input(instance, boot, [this, boot](PoolCore &core) {
-        core.start(this->events.now(), boot);
-        core.routesReceived(this->events.now(), this->makeRoutes());
-        core.entriesListed(this->events.now(), this->entries());
-    });
-    this->listFleet(instance, boot);
+    this->input(instance, boot, [this, boot](PoolCore &core) { core.start(this->events.now(), boot); });
 }
 
 void VirtualPool::killInstance(std::size_t instance)
@@ -127,9 +124,65 @@
         this->killInstance(instance);
         return;
     }
+    this->applyWatchPlan(instance);
     this->scheduleTick(instance);
 }
 
+void VirtualPool::applyWatchPlan(std::size_t instance)
+{
+    Node &node = *this->nodes.at(instance);
+    const WatchPlan plan = node.core->watchPlan();
+    const WatchPlan before = std::exchange(node.plan, plan);
+    // As in the daemon, an urgent list request interrupts a watch that is waiting.
+    const bool urgent = plan.fleet == FleetWatchMode::Initial && before.fleet != FleetWatchMode::Initial;
+    if (plan.fleet != FleetWatchMode::Suspended && (urgent || !node.listsFleet)) {
+        node.listsFleet = true;
+        node.fleetWatch += 1;
+        this->listFleet(instance, node.boot, node.fleetWatch);
+    }
+    if (plan.servers && !before.servers)
+        this->listEntries(instance);
+    if (plan.routes && !before.routes)
+        this->listRoutes(instance);
+}
+
+void VirtualPool::listEntries(std::size_t instance)
+{
+    if (!this->nodes[instance]->plan.servers)
+        return;
+    const std::uint64_t boot = this->nodes[instance]->boot;
+    this->fleetStore.calls += 1;
+    if (!this->isStoreReachable(instance)) {
+        this->at(storeRetryDelay, [this, instance, boot] {
+            if (this->nodes[instance]->boot == boot)
+                this->listEntries(instance);
+        });
+        return;
+    }
+    this->at(this->options.storeDelay, [this, instance, boot, listed = this->entries()] {
+        this->input(instance, boot, [this, listed](PoolCore &core) { core.entriesListed(this->events.now(), listed); });
+    });
+}
+
+void VirtualPool::listRoutes(std::size_t instance)
+{
+    if (!this->nodes[instance]->plan.routes)
+        return;
+    const std::uint64_t boot = this->nodes[instance]->boot;
+    this->fleetStore.calls += 1;
+    if (!this->isStoreReachable(instance)) {
+        this->at(storeRetryDelay, [this, instance, boot] {
+            if (this->nodes[instance]->boot == boot)
+                this->listRoutes(instance);
+        });
+        return;
+    }
+    this->at(this->options.storeDelay, [this, instance, boot, routes = this->makeRoutes()] {
+        this->input(instance, boot,
+                    [this, routes](PoolCore &core) { core.routesReceived(this->events.now(), routes); });
+    });
+}
+
 void VirtualPool::scheduleTick(std::size_t instance)
 {
     Node &node = *this->nodes.at(instance);
@@ -298,50 +351,82 @@
     return this->storeAvailable && this->nodes[instance]->reachesStore;
 }
 
-void VirtualPool::listFleet(std::size_t instance, std::uint64_t boot)
+bool VirtualPool::continuesFleetWatch(std::size_t instance, std::uint64_t boot, std::uint64_t chain)
 {
-    if (this->nodes[instance]->boot != boot)
+    Node &node = *this->nodes[instance];
+    if (node.boot != boot || node.fleetWatch != chain)
+        return false;
+    if (node.plan.fleet == FleetWatchMode::Suspended)
+        node.listsFleet = false;
+    return node.listsFleet;
+}
+
+void VirtualPool::listFleet(std::size_t instance, std::uint64_t boot, std::uint64_t chain)
+{
+    if (!this->continuesFleetWatch(instance, boot, chain))
         return;
     const TimePoint requestedAt = this->events.now();
+    this->fleetStore.calls += 1;
     if (!this->isStoreReachable(instance)) {
-        this->events.add(requestedAt + storeRetryDelay, [this, instance, boot] { this->listFleet(instance, boot); });
+        this->events.add(requestedAt + storeRetryDelay,
+                         [this, instance, boot, chain] { this->listFleet(instance, boot, chain); });
         return;
     }
-    this->events.add(requestedAt + 2 * this->options.storeDelay, [this, instance, boot, requestedAt] {
+    this->events.add(requestedAt + 2 * this->options.storeDelay, [this, instance, boot, chain, requestedAt] {
         const FleetStore::Answer answer = this->fleetStore.list();
-        this->input(instance, boot, [this, instance, boot, requestedAt, answer](PoolCore &core) {
+        this->input(instance, boot, [this, instance, boot, chain, requestedAt, answer](PoolCore &core) {
+            if (this->nodes[instance]->fleetWatch != chain)
+                return;
             this->nodes[instance]->knownRevision = answer.revision;
             core.fleetUpdated(this->events.now(), FleetUpdate{.complete = true,
                                                               .objects = answer.objects,
                                                               .revision = answer.revision,
                                                               .requestedAt = requestedAt});
-            this->watchFleet(instance, boot);
+            this->at(Duration{0}, [this, instance, boot, chain] { this->watchFleet(instance, boot, chain); });
         });
     });
 }
 
-void VirtualPool::watchFleet(std::size_t instance, std::uint64_t boot)
+Duration VirtualPool::pauseAfterUpdate(FleetWatchMode mode) const
+{
+    switch (mode) {
+    case FleetWatchMode::Batched:
+        return this->options.batchedWatchPause;
+    case FleetWatchMode::Continuous:
+        return this->options.memberWatchPause;
+    default:
+        return Duration{0};
+    }
+}
+
+void VirtualPool::watchFleet(std::size_t instance, std::uint64_t boot, std::uint64_t chain)
 {
+    if (!this->continuesFleetWatch(instance, boot, chain))
+        return;
     const TimePoint requestedAt = this->events.now();
-    const PoolCore *watching = this->nodes[instance]->core.get();
-    const bool first = watching != nullptr && watching->fleetWatchMode() == FleetWatchMode::Initial;
+    const bool first = this->nodes[instance]->plan.fleet == FleetWatchMode::Initial;
     const Duration wait = first ? this->options.initialWatchWait : this->options.watchWait;
+    const auto listAgain = [this, instance, boot, chain] { this->listFleet(instance, boot, chain); };
     if (!this->isStoreReachable(instance)) {
-        this->events.add(requestedAt + storeRetryDelay, [this, instance, boot] { this->listFleet(instance, boot); });
+        this->fleetStore.calls += 1;
+        this->events.add(requestedAt + storeRetryDelay, listAgain);
         return;
     }
-    const auto answered = [this, instance, boot, requestedAt, wait](const FleetStore::Answer &answer) {
-        // The answer is lost during an outage. The instance lists again after its timeout, as the daemon does.
+    const auto answered = [this, instance, boot, chain, requestedAt, wait,
+                           listAgain](const FleetStore::Answer &answer) {
+        // The answer is lost if the store has become unreachable meanwhile; the instance lists the objects again
+        // after its timeout, as the daemon does.
         if (!this->isStoreReachable(instance)) {
-            this->events.add(requestedAt + wait + this->options.watchTimeout,
-                             [this, instance, boot] { this->listFleet(instance, boot); });
+            this->events.add(requestedAt + wait + this->options.watchTimeout, listAgain);
             return;
         }
-        this->events.add(
-            this->events.now() + this->options.storeDelay, [this, instance, boot, requestedAt, wait, answer] {
-                this->input(instance, boot, [this, instance, boot, requestedAt, wait, answer](PoolCore &core) {
+        this->at(this->options.storeDelay, [this, instance, boot, chain, requestedAt, wait, listAgain, answer] {
+            this->input(
+                instance, boot, [this, instance, boot, chain, requestedAt, wait, listAgain, answer](PoolCore &core) {
+                    if (this->nodes[instance]->fleetWatch != chain)
+                        return;
                     if (answer.historyCompacted) {
-                        this->listFleet(instance, boot);
+                        listAgain();
                         return;
                     }
                     this->nodes[instance]->knownRevision = answer.revision;
@@ -351,16 +436,14 @@
                                       FleetUpdate{.objects = answer.objects,
                                                   .revision = answer.revision,
                                                   .requestedAt = isWaitOver ? requestedAt + wait : requestedAt});
-                    const bool isBatched = !answer.objects.empty() && core.fleetWatchMode() == FleetWatchMode::Batched;
-                    this->at(isBatched ? this->options.batchedWatchPause : Duration{0}, [this, instance, boot] {
-                        if (this->nodes[instance]->boot == boot)
-                            this->watchFleet(instance, boot);
-                    });
+                    const Duration pause =
+                        answer.objects.empty() ? Duration{0} : this->pauseAfterUpdate(core.watchPlan().fleet);
+                    this->at(pause, [this, instance, boot, chain] { this->watchFleet(instance, boot, chain); });
                 });
-            });
+        });
     };
-    this->events.add(requestedAt + this->options.storeDelay, [this, instance, boot, wait, answered] {
-        if (this->nodes[instance]->boot == boot)
+    this->events.add(requestedAt + this->options.storeDelay, [this, instance, boot, chain, wait, answered] {
+        if (this->continuesFleetWatch(instance, boot, chain))
             this->fleetStore.watch(this->nodes[instance]->knownRevision, wait, answered);
     });
 }
@@ -408,14 +491,8 @@
 void VirtualPool::announceServers()
 {
     for (std::size_t instance = 0; instance < this->nodes.size(); ++instance) {
-        if (!this->isStoreReachable(instance))
-            continue;
-        this->events.add(this->events.now() + this->options.storeDelay,
-                         [this, instance, boot = this->nodes[instance]->boot, listed = this->entries()] {
-                             this->input(instance, boot, [this, listed](PoolCore &core) {
-                                 core.entriesListed(this->events.now(), listed);
-                             });
-                         });
+        if (this->isStoreReachable(instance))
+            this->listEntries(instance);
     }
 }
 
@@ -478,14 +555,8 @@
     this->routeVersion = version;
     this->databases = newDatabases;
     for (std::size_t instance = 0; instance < this->nodes.size(); ++instance) {
-        if (!this->isStoreReachable(instance))
-            continue;
-        this->events.add(this->events.now() + this->options.storeDelay,
-                         [this, instance, boot = this->nodes[instance]->boot, routes = this->makeRoutes()] {
-                             this->input(instance, boot, [this, routes](PoolCore &core) {
-                                 core.routesReceived(this->events.now(), routes);
-                             });
-                         });
+        if (this->isStoreReachable(instance))
+            this->listRoutes(instance);
     }
 }
 
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -32,6 +32,7 @@
     Duration watchWait = std::chrono::milliseconds(1000);
     Duration initialWatchWait = std::chrono::milliseconds(60);    ///< as watchWait, until leadership is verified
     Duration batchedWatchPause = std::chrono::milliseconds(1000); ///< between watches in mode FleetWatchMode::Batched
+    Duration memberWatchPause = std::chrono::milliseconds(60);    ///< the same in mode FleetWatchMode::Continuous
     Duration watchTimeout = std::chrono::milliseconds(1500);      ///< after the wait, until a watch fails
     Duration storeTimeout = std::chrono::milliseconds(2000);      ///< of a write without an answer
     std::uint64_t seed = 1;
@@ -125,6 +126,9 @@
         TimePoint frozenUntil{0};
         TimePoint tickAt{0};
         std::uint64_t knownRevision = 0;
+        WatchPlan plan;               ///< last applied
+        std::uint64_t fleetWatch = 0; ///< incremented when a new chain of fleet requests starts, which ends the former
+        bool listsFleet = false;      ///< a chain of fleet requests is in progress
     };
     struct ServerConnection
     {
@@ -142,8 +146,15 @@
     void openLink(std::size_t instance, const OpenLink &action);
     void deliver(std::uint64_t connection, const ServerMessage &message);
     void dropped(std::uint64_t connection);
-    void listFleet(std::size_t instance, std::uint64_t boot);
-    void watchFleet(std::size_t instance, std::uint64_t boot);
+    /// Starts and ends the requests to the store that the core's WatchPlan requires.
+    void applyWatchPlan(std::size_t instance);
+    void listEntries(std::size_t instance);
+    void listRoutes(std::size_t instance);
+    /// \a chain is Node::fleetWatch when the chain of requests started.
+    void listFleet(std::size_t instance, std::uint64_t boot, std::uint64_t chain);
+    void watchFleet(std::size_t instance, std::uint64_t boot, std::uint64_t chain);
+    [[nodiscard]] Duration pauseAfterUpdate(FleetWatchMode mode) const;
+    [[nodiscard]] bool continuesFleetWatch(std::size_t instance, std::uint64_t boot, std::uint64_t chain);
     void writeStore(std::size_t instance, const std::function<WriteOutcome()> &work, std::uint64_t call);
     void announceServers();
     void scheduleTick(std::size_t instance);
