A member that has lost the store passes work on to members that reach it

Change: such a member refuses relayed work that needs the leadership at once, with Misrouted; the other instance offers it to the next member and asks this one last for a second. The member's own callers are relayed to other members until it has verified again. Relay.WorkLeavesAMemberThatHasLapsed fails without the change (refused after 1.8 s).

--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -70,7 +70,7 @@
 
 void RegistrationSystem::updateServing()
 {
-    if (!this->registered || this->viewVerifiedAt.count() == 0 || !this->world.serversListed)
+    if (!this->registered || this->world.fleetVerifiedAt.count() == 0 || !this->world.serversListed)
         return;
     // From now on this instance may accept results of primaries, also for relayed work.
     this->world.role = FleetRole::Member;
@@ -84,22 +84,22 @@
         return;
     // Once the authority lease has expired, others may have stopped waiting for this instance; it registers again
     // before it continues.
-    if (this->viewVerifiedAt.count() != 0
-        && this->world.now - this->viewVerifiedAt > this->world.options.authorityLease) {
+    if (this->world.fleetVerifiedAt.count() != 0
+        && this->world.now - this->world.fleetVerifiedAt > this->world.options.authorityLease) {
         this->world.log(LogLevel::Warning, "leadership-lapsed",
-                        {{"ageMs", std::to_string((this->world.now - this->viewVerifiedAt).count() / 1000)}});
+                        {{"ageMs", std::to_string((this->world.now - this->world.fleetVerifiedAt).count() / 1000)}});
         this->registered = false;
-        this->viewVerifiedAt = TimePoint{0};
+        this->world.fleetVerifiedAt = TimePoint{0};
         this->desired.renewals += 1;
         return;
     }
-    this->viewVerifiedAt = std::max(this->viewVerifiedAt, requestedAt);
+    this->world.fleetVerifiedAt = std::max(this->world.fleetVerifiedAt, requestedAt);
     this->updateServing();
 }
 
 void RegistrationSystem::resetVerification()
 {
-    this->viewVerifiedAt = TimePoint{0};
+    this->world.fleetVerifiedAt = TimePoint{0};
     this->world.services.forEach([](ServiceId, ServiceRow &service) { service.leadershipVerifiedAt = TimePoint{0}; });
 }
 
@@ -241,9 +241,15 @@
                                        .expectedRevision = this->ownRevision});
 }
 
+TimePoint RegistrationSystem::verifiedAt() const
+{
+    return this->world.fleetVerifiedAt;
+}
+
 bool RegistrationSystem::isFleetViewCurrent() const
 {
-    return this->viewVerifiedAt.count() != 0 && this->world.now - this->viewVerifiedAt <= this->options.maxFleetViewAge;
+    return this->world.fleetVerifiedAt.count() != 0
+           && this->world.now - this->world.fleetVerifiedAt <= this->options.maxFleetViewAge;
 }
 
 void RegistrationSystem::setView(const std::string &service, std::optional<PrimaryView> primaryView)
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -54,7 +54,7 @@
     /// verified.
     [[nodiscard]] bool awaitsVerification() const
     {
-        return this->registered ? this->viewVerifiedAt.count() == 0 : this->writeCall != 0 && !this->unregistering;
+        return this->registered ? this->verifiedAt().count() == 0 : this->writeCall != 0 && !this->unregistering;
     }
     /// True if there is a vacancy for a member and this instance waits for its time slot to register.
     [[nodiscard]] bool awaitsVacancy() const { return this->vacancyFound; }
@@ -62,7 +62,7 @@
     /// an instance with an earlier slot may have filled the vacancy.
     [[nodiscard]] bool isVacancyDue() const;
     /// Time at which the store last showed the state that this instance has; 0: not verified.
-    [[nodiscard]] TimePoint verifiedAt() const { return this->viewVerifiedAt; }
+    [[nodiscard]] TimePoint verifiedAt() const;
     /// True if verifiedAt() is recent enough to replace a primary (LeadershipOptions::maxFleetViewAge).
     [[nodiscard]] bool isFleetViewCurrent() const;
 
@@ -98,8 +98,7 @@
     TimePoint writeAgainAt{0}; ///< no write before, after a failed one
     bool vacancyFound = false; ///< see awaitsVacancy()
     TimePoint vacancySince{0};
-    TimePoint readAt{0};         ///< the view reflects the store at this time or later; 0: not read yet
-    TimePoint viewVerifiedAt{0}; ///< see verifiedAt()
+    TimePoint readAt{0}; ///< the view reflects the store at this time or later; 0: not read yet
 };
 
 } // namespace Jujubekeel
--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Attempts to run one statement before it is refused.
+/// Attempts to run one statement before it is refused, besides one for each member.
 constexpr std::uint32_t attemptLimit = 8;
 /// Delay before work that every server has refused is tried again.
 constexpr Duration refusedRetryDelay = std::chrono::milliseconds(15);
@@ -83,10 +83,28 @@
         this->sendStatement(id, session.transaction->link, std::nullopt);
         return;
     }
+    const PendingWork &work = *session.work;
+    if (!session.transaction && this->mustPassOn(session, work.needsPrimary, work.consistentAt)) {
+        this->finishWithError(id, OutcomeCode::Misrouted, "this member does not reach the store", SessionState::Idle);
+        return;
+    }
     if (!this->trySend(id))
         this->enqueue(id);
 }
 
+bool DispatchSystem::mustPassOn(const SessionRow &session, bool needsPrimary, TimePoint consistentAt) const
+{
+    return session.relayed && this->chooser.needsOtherMember(this->serviceOf(session), needsPrimary, consistentAt);
+}
+
+bool DispatchSystem::isRelayed(const SessionRow &session, ServiceId service) const
+{
+    if (this->world.isRelaying())
+        return true;
+    const PendingWork &work = *session.work;
+    return !session.relayed && this->chooser.needsOtherMember(service, work.needsPrimary, work.consistentAt);
+}
+
 void DispatchSystem::enqueue(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
@@ -124,7 +142,7 @@
     const ServiceId serviceId = this->serviceOf(session);
     if (!serviceId.isValid())
         return false;
-    if (this->world.isRelaying())
+    if (this->isRelayed(session, serviceId))
         return this->relay(id);
     if (serviceId == this->world.relayService)
         return false;
@@ -281,7 +299,7 @@
     PendingWork &work = *session.work;
     work.lastError = std::move(error);
     work.withheld.reset();
-    if (work.attempts >= attemptLimit) {
+    if (work.attempts >= attemptLimit + this->world.memberById.size()) {
         this->finishWithError(id, OutcomeCode::Busy,
                               work.lastError ? work.lastError->text : "no backend server could run the statement",
                               SessionState::Failed);
@@ -290,7 +308,7 @@
     // If every server has refused the work, all of them are tried again after a delay.
     const ServiceId serviceId = this->serviceOf(session);
     const auto serverCount = [&] { return this->world.services.at(serviceId).servers.size(); };
-    const bool allRefused = this->world.isRelaying()
+    const bool allRefused = this->isRelayed(session, serviceId)
                                 ? work.excluded.size() >= this->world.memberById.size()
                                 : work.needsPrimary || !serviceId.isValid() || work.excluded.size() >= serverCount();
     if (allRefused) {
--- a/src/pool/dispatchsystem.h
+++ b/src/pool/dispatchsystem.h
@@ -27,6 +27,9 @@
 
     DispatchSystem(PoolWorld &poolWorld, LinkSystem &linkSystem, Finish finishWork);
 
+    /// True if a statement or transaction of a relayed session must be refused, so that the other instance offers it to
+    /// another member: this one has not reached the store for too long to serve it.
+    [[nodiscard]] bool mustPassOn(const SessionRow &session, bool needsPrimary, TimePoint consistentAt) const;
     /// Sends or queues the session's pending work. Finish is called for it, during this call or later.
     void submit(SessionId session);
     /// Sends the first statement of a transaction, after the backend server has answered Begin.
@@ -73,7 +76,9 @@
 private:
     /// Sends the session's work. Returns false if it has to be queued: no suitable server has a free link.
     bool trySend(SessionId session);
-    /// The same at a relaying instance, to one of the members.
+    /// Whether the session's work is sent to a member, not to a backend server.
+    [[nodiscard]] bool isRelayed(const SessionRow &session, ServiceId service) const;
+    /// The same as trySend(), to one of the members.
     bool relay(SessionId session);
     /// Sends the session's route and mark to a member, unless they were the last ones sent.
     void sendRelayedRoute(const SessionRow &session, LinkId link);
--- a/src/pool/linksystem.cpp
+++ b/src/pool/linksystem.cpp
@@ -33,7 +33,7 @@
 bool LinkSystem::mayConnect(const ServerRow &server) const
 {
     if (server.isMember)
-        return this->world.isRelaying() && !server.entry.draining;
+        return (this->world.isRelaying() || this->world.hasLapsed()) && !server.entry.draining;
     return this->world.role == FleetRole::Member;
 }
 
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -25,6 +25,7 @@
     std::uint32_t maxMembers = 16;  ///< limited because each member reads every change of the fleet's objects
     std::uint32_t relayLinks = 24;  ///< connections to one member, at most
     std::uint32_t relayTargets = 3; ///< members to which one instance relays, those with the shortest wait
+    Duration relayPause = std::chrono::seconds(1);          ///< a member that refused work without waiting is used last
     Duration relaySilence = std::chrono::milliseconds(500); ///< a member without an answer for this long is used last
 
     // Configuration and members of the fleet, as members report them to relaying instances.
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -44,7 +44,8 @@
     FleetRole role = FleetRole::Undecided;
     std::shared_ptr<const RouteTable> routes; ///< null: no configuration has been received
     std::uint32_t instances = 1;              ///< instances that share the servers' connections
-    bool serversListed = false; ///< the directory entries were listed since this instance last began to follow them
+    bool serversListed = false;   ///< the directory entries were listed since this instance last began to follow them
+    TimePoint fleetVerifiedAt{0}; ///< RegistrationSystem::verifiedAt(); 0: the fleet view is not verified
     bool stopping = false;
     TimePoint stopRequestedAt{0};
     TimerQueue timers;
@@ -61,6 +62,13 @@
         return service.leadershipVerifiedAt.count() != 0
                && this->now - service.leadershipVerifiedAt < this->options.authorityLease;
     }
+    /// A member that has not reached the store for longer than the lease: it can neither run work at a primary nor learn
+    /// positions for reads, while other members may.
+    [[nodiscard]] bool hasLapsed() const
+    {
+        return this->role == FleetRole::Member && this->fleetVerifiedAt.count() != 0
+               && this->now - this->fleetVerifiedAt >= this->options.authorityLease;
+    }
     [[nodiscard]] std::uint64_t takeCall() { return this->nextCall++; }
     template <typename Action>
     void emit(Action action)
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -86,6 +86,8 @@
             return;
         if (completed.exchange.error->code == OutcomeCode::Lagging)
             this->markLagging(server);
+        if (completed.exchange.error->code == OutcomeCode::Misrouted)
+            this->world.servers.at(server).refusedAt = this->world.now;
         session->work->beginSent = false;
         session->work->excluded.push_back(server);
         this->dispatch.requeue(id, completed.exchange.error);
@@ -147,8 +149,16 @@
         this->dispatch.requeue(id, error);
         return;
     }
+    const bool isMember = this->world.servers.at(server).isMember;
+    if (isMember && error.code == OutcomeCode::Misrouted) {
+        this->world.servers.at(server).refusedAt = this->world.now;
+        work.excluded.push_back(server);
+        this->dispatch.releaseLink(linkId);
+        this->dispatch.requeue(id, error);
+        return;
+    }
     // The member has already queued the work until the deadline.
-    const bool waited = this->world.servers.at(server).isMember && this->world.now >= work.deadline;
+    const bool waited = isMember && this->world.now >= work.deadline;
     this->dispatch.releaseLink(linkId);
     if (waited) {
         this->dispatch.finishWithError(id, error.code, error.text, SessionState::Idle);
--- a/src/pool/serverchooser.cpp
+++ b/src/pool/serverchooser.cpp
@@ -24,6 +24,13 @@
            && this->world.isLeadershipVerified(row);
 }
 
+bool ServerChooser::needsOtherMember(ServiceId service, bool needsPrimary, TimePoint consistentAt) const
+{
+    if (!this->world.hasLapsed() || !service.isValid())
+        return false;
+    return needsPrimary || !this->world.services.at(service).positions.covering(consistentAt);
+}
+
 std::optional<LogPosition> ServerChooser::requiredPosition(const SessionRow &session, ServiceId service) const
 {
     const ServiceRow &row = this->world.services.at(service);
@@ -61,7 +68,7 @@
     const PoolOptions &options = this->world.options;
     struct Candidate
     {
-        bool silent = false;
+        bool avoided = false; ///< silent, or refuses work at present
         Duration wait{0};
         std::size_t tieBreak = 0;
         ServerId id;
@@ -74,13 +81,14 @@
         if (row.entry.draining || unreachable || std::find(excluded.begin(), excluded.end(), id) != excluded.end())
             continue;
         // The hash distributes instances over members with the same expected wait.
-        candidates.push_back(Candidate{.silent = row.silence(this->world.now) > options.relaySilence,
+        const bool refuses = row.refusedAt.count() != 0 && this->world.now - row.refusedAt < options.relayPause;
+        candidates.push_back(Candidate{.avoided = refuses || row.silence(this->world.now) > options.relaySilence,
                                        .wait = this->expectedWait(id, false),
                                        .tieBreak = std::hash<std::string>{}(options.instance + instance),
                                        .id = id});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &left, const Candidate &right) {
-        return std::tie(left.silent, left.wait, left.tieBreak) < std::tie(right.silent, right.wait, right.tieBreak);
+        return std::tie(left.avoided, left.wait, left.tieBreak) < std::tie(right.avoided, right.wait, right.tieBreak);
     });
     std::vector<ServerId> selected;
     for (const Candidate &candidate : candidates) {
--- a/src/pool/serverchooser.h
+++ b/src/pool/serverchooser.h
@@ -21,6 +21,9 @@
     /// Whether the primary may get new work: it is known, it is not being replaced, and its leadership was verified
     /// recently enough to accept its results.
     [[nodiscard]] bool primaryUsable(ServiceId service) const;
+    /// True if this member has lapsed (PoolWorld::hasLapsed()) and the work needs the primary, or a position that covers
+    /// \a consistentAt, which only the primary could give. Another member may be able to serve it.
+    [[nodiscard]] bool needsOtherMember(ServiceId service, bool needsPrimary, TimePoint consistentAt) const;
     /// The log position that a read of the session must see; empty if no known position is sufficient.
     [[nodiscard]] std::optional<LogPosition> requiredPosition(const SessionRow &session, ServiceId service) const;
     /// Servers that may run a read, the one with the shortest expected wait first. With \a required any server may run
--- a/src/pool/serverrow.h
+++ b/src/pool/serverrow.h
@@ -33,6 +33,7 @@
     TimePoint connectionLostAt{0};    ///< last loss of a connection
     TimePoint retryAt{0};             ///< no connection is opened before
     Duration retryDelay{0};
+    TimePoint refusedAt{0};    ///< a member refused work without letting it wait; 0: never
     TimePoint laggingUntil{0}; ///< until then not used for positions above `applied`
     Duration laggingPause{0};  ///< length of the last such pause
 
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -230,10 +230,14 @@
     }
     if (!this->resolveRoute(id))
         return;
+    const bool readOnly = statement.kind == StatementKind::BeginReadOnly;
+    if (this->dispatch.mustPassOn(session, !readOnly, this->world.now - session.route->maxStaleness)) {
+        this->refuse(id, OutcomeCode::Misrouted, "this member does not reach the store", SessionState::Idle);
+        return;
+    }
     // On the server the transaction begins with its first statement, so that it occupies no connection until then.
-    session.transaction = TransactionState{.readOnly = statement.kind == StatementKind::BeginReadOnly,
-                                           .startedAt = this->world.now,
-                                           .lastActiveAt = this->world.now};
+    session.transaction =
+        TransactionState{.readOnly = readOnly, .startedAt = this->world.now, .lastActiveAt = this->world.now};
     this->answer(id, SessionState::InTransaction);
 }
 
--- a/tests/pool/relaytest.cpp
+++ b/tests/pool/relaytest.cpp
@@ -231,6 +231,37 @@
     EXPECT_LT(run.pool.now() - before, milliseconds(200));
 }
 
+// Guards against a member that has lost the store holding up work that other members can run: with relayed work it
+// refused writes after a wait of 1.8 s for as long as it was cut off.
+TEST(Relay, WorkLeavesAMemberThatHasLapsed)
+{
+    RelayedPool run;
+    const std::size_t cutOff = run.members.front();
+    run.pool.setStoreReachable(cutOff, false);
+    run.pool.run(milliseconds(6500));
+    const std::size_t served = run.relaying.front();
+    for (const std::size_t instance : {cutOff, served}) {
+        const auto caller = *run.pool.openCaller(instance, VirtualPool::primaryRoute);
+        const std::string name = std::to_string(instance);
+        for (int round = 0; round < 5; ++round) {
+            const TimePoint before = run.pool.now();
+            const std::string id = name + "w" + std::to_string(round);
+            EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Write, id, "WRITE 1a4 x").error) << id;
+            EXPECT_LT(run.pool.now() - before, milliseconds(150)) << id;
+        }
+        EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Begin, name + "b", "BEGIN").error);
+        EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Write, name + "t", "WRITE 1a4 y").error);
+        EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Commit, name + "c", "COMMIT").error);
+    }
+    // Its own callers return to its connections once it reaches the store again.
+    run.pool.setStoreReachable(cutOff, true);
+    run.pool.run(seconds(2));
+    EXPECT_FALSE(run.pool.core(cutOff)->state().hasLapsed());
+    const auto caller = *run.pool.openCaller(cutOff, VirtualPool::primaryRoute);
+    EXPECT_FALSE(runStatement(run.pool, caller, StatementKind::Write, "last", "WRITE 1a4 z").error);
+    EXPECT_EQ(joined(run.pool.group().history().misuse), "");
+}
+
 // Guards against work staying queued after its caller has disconnected. Its service was unknown when it was queued and
 // has become known since, so that the work was looked for in the wrong queue.
 TEST(Relay, QueuedWorkIsRemovedWithItsCallerWhenItsServiceBecameKnown)
