--- a/src/leadership/leadershiprecord.cpp
+++ b/src/leadership/leadershiprecord.cpp
@@ -1,5 +1,7 @@
 #include "leadership/leadershiprecord.h"
 
+#include "catalog/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Jujubekeel {
@@ -14,8 +16,11 @@
 
 std::optional<LeadershipRecord> LeadershipRecord::fromText(std::string_view text)
 {
+    const auto parsed = parseBoundedJson(text);
+    if (!parsed)
+        return std::nullopt;
     try {
-        const auto root = nlohmann::json::parse(text.begin(), text.end());
+        const nlohmann::json &root = *parsed;
         return LeadershipRecord{.epoch = root.at("epoch").get<std::uint64_t>(),
                                 .term = root.at("term").get<std::uint64_t>(),
                                 .primary = root.at("primary").get<std::string>(),
--- a/src/leadership/memberrecord.cpp
+++ b/src/leadership/memberrecord.cpp
@@ -1,5 +1,7 @@
 #include "leadership/memberrecord.h"
 
+#include "catalog/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -29,8 +31,11 @@
 
 std::optional<MemberRecord> MemberRecord::fromText(std::string_view text)
 {
+    const auto parsed = parseBoundedJson(text);
+    if (!parsed)
+        return std::nullopt;
     try {
-        const auto root = nlohmann::json::parse(text.begin(), text.end());
+        const nlohmann::json &root = *parsed;
         MemberRecord record{.incarnation = root.at("incarnation").get<std::uint64_t>(),
                             .relayAddress = root.value("relayAddress", std::string()),
                             .failureDomain = root.value("domain", std::string()),
--- a/src/net/streamconnection.cpp
+++ b/src/net/streamconnection.cpp
@@ -8,18 +8,33 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <charconv>
 #include <stdexcept>
 #include <utility>
 
 namespace Jujubekeel {
 
-asio::ip::tcp::endpoint toEndpoint(const std::string &address)
+std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address)
 {
     const std::size_t colon = address.rfind(':');
-    if (colon == std::string::npos)
-        throw std::runtime_error("address without a port: " + address);
-    return {asio::ip::make_address(address.substr(0, colon)),
-            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view portText = address.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [end, portError] = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    asio::error_code hostError;
+    const auto host = asio::ip::make_address(std::string(address.substr(0, colon)), hostError);
+    if (hostError || portText.empty() || portError != std::errc{} || end != portText.data() + portText.size())
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(host, port);
+}
+
+asio::ip::tcp::endpoint toEndpoint(const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        throw std::runtime_error("not an address of the form ip:port: " + address);
+    return *endpoint;
 }
 
 StreamConnection::StreamConnection(asio::ip::tcp::socket tcpSocket, StreamConnectionOptions connectionOptions)
--- a/src/net/streamconnection.h
+++ b/src/net/streamconnection.h
@@ -10,12 +10,15 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace Jujubekeel {
 
-/// Parses "ip:port"; throws std::exception if it is malformed.
+/// Parses "ip:port"; empty if it is malformed.
+[[nodiscard]] std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view address);
+/// As parseEndpoint(), for addresses of the settings; throws std::runtime_error if it is malformed.
 [[nodiscard]] asio::ip::tcp::endpoint toEndpoint(const std::string &address);
 
 enum class StreamCloseReason : std::uint8_t {
--- a/src/pool/feedrequest.cpp
+++ b/src/pool/feedrequest.cpp
@@ -1,5 +1,7 @@
 #include "pool/feedrequest.h"
 
+#include "catalog/boundedjson.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Jujubekeel {
@@ -14,8 +16,11 @@
 
 std::optional<FeedRequest> FeedRequest::fromText(std::string_view text)
 {
+    const auto parsed = parseBoundedJson(text);
+    if (!parsed)
+        return std::nullopt;
     try {
-        const auto root = nlohmann::json::parse(text.begin(), text.end());
+        const nlohmann::json &root = *parsed;
         return FeedRequest{.routeVersion = root.at("routeVersion").get<std::uint64_t>(),
                            .memberRevision = root.at("memberRevision").get<std::uint64_t>(),
                            .memberDigest = root.at("memberDigest").get<std::uint64_t>()};
--- a/src/pool/feedupdate.cpp
+++ b/src/pool/feedupdate.cpp
@@ -1,5 +1,6 @@
 #include "pool/feedupdate.h"
 
+#include "catalog/boundedjson.h"
 #include "catalog/routejson.h"
 
 #include <nlohmann/json.hpp>
@@ -27,8 +28,11 @@
 
 std::optional<FeedUpdate> FeedUpdate::fromText(std::string_view text)
 {
+    const auto parsed = parseBoundedJson(text);
+    if (!parsed)
+        return std::nullopt;
     try {
-        const auto root = nlohmann::json::parse(text.begin(), text.end());
+        const nlohmann::json &root = *parsed;
         FeedUpdate update{.verifiedAfter = Duration(root.at("verifiedAfterUs").get<std::int64_t>()),
                           .routeVersion = root.at("routeVersion").get<std::uint64_t>(),
                           .memberRevision = root.at("memberRevision").get<std::uint64_t>()};
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -61,6 +61,7 @@
 
     std::size_t resultLimit = std::size_t{4} * 1024 * 1024; ///< bytes of one result
     std::size_t backlogLimit = 64; ///< statements that a caller may send before the reply to an earlier one
+    std::size_t backlogBytes = std::size_t{2} * 1024 * 1024; ///< and their size together
 };
 
 } // namespace Jujubekeel
--- a/src/pool/relayedroute.cpp
+++ b/src/pool/relayedroute.cpp
@@ -1,5 +1,6 @@
 #include "pool/relayedroute.h"
 
+#include "catalog/boundedjson.h"
 #include "catalog/routejson.h"
 
 #include <nlohmann/json.hpp>
@@ -18,8 +19,11 @@
 
 std::optional<RelayedRoute> RelayedRoute::fromText(std::string_view text)
 {
+    const auto parsed = parseBoundedJson(text);
+    if (!parsed)
+        return std::nullopt;
     try {
-        const auto root = nlohmann::json::parse(text.begin(), text.end());
+        const nlohmann::json &root = *parsed;
         RelayedRoute relayed{.route = routeFromJson(root)};
         if (root.contains("markTerm"))
             relayed.mark = LogPosition{.term = root.at("markTerm").get<std::uint64_t>(),
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -70,6 +70,7 @@
     std::optional<TransactionState> transaction;
     std::optional<PendingWork> work;
     std::deque<Statement> backlog; ///< statements received before the reply to an earlier one
+    std::size_t backlogBytes = 0;  ///< size of their texts
 
     std::map<std::string, std::string, std::less<>> values;
     std::map<std::string, PreparedStatement, std::less<>> prepared;
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -115,7 +115,9 @@
 {
     SessionRow &session = this->world.sessions.at(id);
     if (session.work || session.awaitsRoutes || !session.backlog.empty()) {
-        if (session.backlog.size() >= this->world.options.backlogLimit) {
+        session.backlogBytes += statement.text.size();
+        if (session.backlog.size() >= this->world.options.backlogLimit
+            || session.backlogBytes > this->world.options.backlogBytes) {
             this->end(id);
             this->world.emit(CloseCaller{.session = id});
             return;
@@ -133,6 +135,7 @@
             return;
         Statement statement = std::move(session->backlog.front());
         session->backlog.pop_front();
+        session->backlogBytes -= statement.text.size();
         this->start(id, std::move(statement));
     }
 }
