Work that cannot be reached in time is refused at once

Ruled out: a shorter wait for all (work that waits for a primary that returns needs it); refusing by the number of queued statements (the rate at which they leave differs by server and fault). Change: the interval at which work leaves a queue is averaged since the queue was last empty; a caller's work whose place would be reached after one and a half times its remaining wait is refused. A queue that stands still says nothing and refuses nothing; relayed work is left to the wait, because the other instance would offer it to all members in turn.

--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -12,6 +12,11 @@
 
 /// Attempts to run one statement before it is refused, besides one for each member.
 constexpr std::uint32_t attemptLimit = 8;
+/// Divisor of the moving average of the interval at which work leaves a queue; as many samples make an estimate.
+constexpr std::uint32_t dequeueSamples = 8;
+/// Work is refused at once if its expected wait exceeds the time left by this factor, in halves: the estimate is rough,
+/// and work that could be served must not be refused.
+constexpr std::int64_t hopelessHalves = 3;
 /// Delay before work that every server has refused is tried again.
 constexpr Duration refusedRetryDelay = std::chrono::milliseconds(15);
 /// The first attempt of a read is repeated elsewhere after this multiple of the server's average response time, because
@@ -121,11 +126,26 @@
             return row.route->priority > session.route->priority;
         return row.work->arrivedAt > session.work->arrivedAt;
     });
+    const auto index = static_cast<std::size_t>(place - service.queue.begin());
+    if (this->isHopeless(service, index, *session.work) && !session.relayed) {
+        this->world.counters.add("jujubekeel_pool_hopeless_total");
+        this->finishWithError(id, OutcomeCode::Busy, "the queue is longer than can be served in time",
+                              SessionState::Failed);
+        return;
+    }
     service.queue.insert(place, id);
     session.work->queue = serviceId;
     this->world.timers.add(session.work->deadline, TimerKind::WorkDeadline, id.packed());
 }
 
+bool DispatchSystem::isHopeless(const ServiceRow &service, std::size_t place, const PendingWork &work) const
+{
+    if (service.dequeues < dequeueSamples)
+        return false;
+    const Duration expected = service.dequeueInterval * static_cast<std::int64_t>(place + 1);
+    return expected * 2 > (work.deadline - this->world.now) * hopelessHalves;
+}
+
 void DispatchSystem::removeFromQueue(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
@@ -383,11 +403,21 @@
     std::vector<SessionId> waiting;
     waiting.swap(this->world.services.at(serviceId).queue);
     for (const SessionId id : waiting) {
-        if (this->trySend(id))
-            this->world.sessions.at(id).work->queue = ServiceId{};
-        else
-            this->world.services.at(serviceId).queue.push_back(id);
+        ServiceRow &service = this->world.services.at(serviceId);
+        if (!this->trySend(id)) {
+            service.queue.push_back(id);
+            continue;
+        }
+        this->world.sessions.at(id).work->queue = ServiceId{};
+        if (service.dequeues > 0)
+            service.dequeueInterval += (this->world.now - service.dequeuedAt - service.dequeueInterval)
+                                       / std::min<std::int64_t>(service.dequeues, dequeueSamples);
+        service.dequeuedAt = this->world.now;
+        service.dequeues += 1;
     }
+    ServiceRow &service = this->world.services.at(serviceId);
+    if (service.queue.empty())
+        service.dequeues = 0;
 }
 
 bool DispatchSystem::requestPosition(ServiceId serviceId)
--- a/src/pool/dispatchsystem.h
+++ b/src/pool/dispatchsystem.h
@@ -13,7 +13,9 @@
 namespace Jujubekeel {
 
 struct PoolWorld;
+struct PendingWork;
 struct ServerRow;
+struct ServiceRow;
 struct SessionRow;
 
 /// Sends the pending work of sessions to backend servers: queues it, chooses the server and the link, sets up the
@@ -90,6 +92,9 @@
     void prepareLink(SessionRow &session, LinkId link);
     void dispatchQueue(ServiceId service);
     void enqueue(SessionId session);
+    /// True if the work at this place of the queue will not leave it before its deadline, judged by how fast the queue
+    /// has been served since it was last empty. For overloaded servers; says nothing about a queue that stands still.
+    [[nodiscard]] bool isHopeless(const ServiceRow &service, std::size_t place, const PendingWork &work) const;
     void removeFromQueue(SessionId session);
 
     PoolWorld &world;
--- a/src/pool/servicerow.h
+++ b/src/pool/servicerow.h
@@ -16,6 +16,9 @@
     std::string name;
     std::vector<ServerId> servers;
     std::vector<SessionId> queue; ///< sessions whose work waits for a link, by priority, then by arrival
+    TimePoint dequeuedAt{0};      ///< when work last left the queue for a server
+    Duration dequeueInterval{0};  ///< between two of these, moving average since the queue was last empty
+    std::uint32_t dequeues = 0;   ///< since the queue was last empty
 
     ServerId primary;          ///< invalid: unknown
     std::string primaryId;     ///< id of the primary; kept while its entry is missing
