--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -146,41 +146,33 @@
         this->listRoutes(instance);
 }
 
-void VirtualPool::listEntries(std::size_t instance)
+void VirtualPool::list(std::size_t instance, bool WatchPlan::*followed,
+                       const std::function<void(PoolCore &core)> &deliver)
 {
-    if (!this->nodes[instance]->plan.servers)
+    if (!(this->nodes[instance]->plan.*followed))
         return;
     const std::uint64_t boot = this->nodes[instance]->boot;
     this->fleetStore.calls += 1;
     if (!this->isStoreReachable(instance)) {
-        this->at(storeRetryDelay, [this, instance, boot] {
+        this->at(storeRetryDelay, [this, instance, boot, followed, deliver] {
             if (this->nodes[instance]->boot == boot)
-                this->listEntries(instance);
+                this->list(instance, followed, deliver);
         });
         return;
     }
-    this->at(this->options.storeDelay, [this, instance, boot, listed = this->entries()] {
-        this->input(instance, boot, [this, listed](PoolCore &core) { core.entriesListed(this->events.now(), listed); });
-    });
+    this->at(this->options.storeDelay, [this, instance, boot, deliver] { this->input(instance, boot, deliver); });
+}
+
+void VirtualPool::listEntries(std::size_t instance)
+{
+    this->list(instance, &WatchPlan::servers,
+               [this](PoolCore &core) { core.entriesListed(this->events.now(), this->entries()); });
 }
 
 void VirtualPool::listRoutes(std::size_t instance)
 {
-    if (!this->nodes[instance]->plan.routes)
-        return;
-    const std::uint64_t boot = this->nodes[instance]->boot;
-    this->fleetStore.calls += 1;
-    if (!this->isStoreReachable(instance)) {
-        this->at(storeRetryDelay, [this, instance, boot] {
-            if (this->nodes[instance]->boot == boot)
-                this->listRoutes(instance);
-        });
-        return;
-    }
-    this->at(this->options.storeDelay, [this, instance, boot, routes = this->makeRoutes()] {
-        this->input(instance, boot,
-                    [this, routes](PoolCore &core) { core.routesReceived(this->events.now(), routes); });
-    });
+    this->list(instance, &WatchPlan::routes,
+               [this](PoolCore &core) { core.routesReceived(this->events.now(), this->makeRoutes()); });
 }
 
 void VirtualPool::scheduleTick(std::size_t instance)
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -148,6 +148,8 @@
     void dropped(std::uint64_t connection);
     /// Starts and ends the requests to the store that the core's WatchPlan requires.
     void applyWatchPlan(std::size_t instance);
+    /// Reads one kind of objects, as long as the WatchPlan contains it, and delivers the answer.
+    void list(std::size_t instance, bool WatchPlan::*followed, const std::function<void(PoolCore &core)> &deliver);
     void listEntries(std::size_t instance);
     void listRoutes(std::size_t instance);
     /// \a chain is Node::fleetWatch when the chain of requests started.
--- a/tests/pool/feedtest.cpp
+++ b/tests/pool/feedtest.cpp
@@ -5,6 +5,7 @@
 #include "virtualpool/poolfaults.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Jujubekeel {
 
@@ -46,6 +47,13 @@
         return this->pool.store().calls - before;
     }
 
+    void restartWithoutStore(std::size_t instance)
+    {
+        this->pool.killInstance(instance);
+        this->pool.setStoreReachable(instance, false);
+        this->pool.startInstance(instance);
+    }
+
     VirtualPool pool;
     std::vector<std::size_t> members;
     std::vector<std::size_t> relaying;
@@ -150,9 +158,7 @@
 {
     FeedFleet fleet;
     const std::size_t instance = fleet.relaying.front();
-    fleet.pool.killInstance(instance);
-    fleet.pool.setStoreReachable(instance, false);
-    fleet.pool.startInstance(instance);
+    fleet.restartWithoutStore(instance);
     const auto caller = fleet.pool.openCaller(instance, VirtualPool::ownRoute);
     fleet.pool.run(milliseconds(400));
     fleet.pool.setStoreReachable(instance, true);
@@ -166,9 +172,7 @@
 {
     FeedFleet fleet;
     const std::size_t instance = fleet.relaying.front();
-    fleet.pool.killInstance(instance);
-    fleet.pool.setStoreReachable(instance, false);
-    fleet.pool.startInstance(instance);
+    fleet.restartWithoutStore(instance);
     const auto caller = fleet.pool.openCaller(instance, VirtualPool::ownRoute);
     fleet.pool.run(milliseconds(1900));
     ASSERT_TRUE(fleet.pool.caller(*caller).refusal);
--- a/tests/pool/memberprotocoltest.cpp
+++ b/tests/pool/memberprotocoltest.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
