--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -116,7 +116,8 @@
 
         Poco::Net::HTTPResponse httpResponse;
         std::istream &input = this->session->receiveResponse(httpResponse);
-        HttpClientResponse response{.status = static_cast<int>(httpResponse.getStatus()), .body = {}};
+        HttpClientResponse response{
+            .status = static_cast<int>(httpResponse.getStatus()), .body = {}, .headers = httpResponse};
         std::array<char, 8192> buffer{};
         while (input) {
             input.read(buffer.data(), buffer.size());
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 
+#include <Poco/Net/NameValueCollection.h>
+
 #include <cstddef>
 #include <memory>
 #include <mutex>
@@ -24,6 +26,7 @@
 {
     int status = 0;
     std::string body;
+    Poco::Net::NameValueCollection headers;
 };
 
 /// One HTTP/1.1 connection to a fixed address. It is never reopened implicitly, because a connection represents one
