--- a/src/leadership/fleetmessages.h
+++ b/src/leadership/fleetmessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/storeversion.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -24,8 +25,11 @@
     bool complete = false; ///< full list: objects that it does not contain do not exist
     bool reported = false; ///< a member has sent it: a full list of the members only, which verifies nothing
     std::vector<FleetObject> objects;
-    std::uint64_t revision = 0;
+    std::uint64_t revision = 0; ///< of the store
+    std::uint64_t era = 0;      ///< of the store; see StoreVersion
     TimePoint requestedAt{0};
+
+    [[nodiscard]] StoreVersion version() const { return {.era = this->era, .revision = this->revision}; }
 };
 
 /// Writes an object if its revision is still `expectedRevision` (0: it must not exist). Answered by exactly one
@@ -57,6 +61,7 @@
     std::uint64_t call = 0;
     WriteResult result = WriteResult::Unavailable;
     std::uint64_t revision = 0; ///< Ok: new revision of the object
+    std::uint64_t era = 0;      ///< Ok: era of the store in which the write took effect
 };
 
 /// Requests the platform to promote a backend server to primary of a service. Answered by exactly one PromotionOutcome.
--- a/src/programs/fake-shared/fakehttpserver.cpp
+++ b/src/programs/fake-shared/fakehttpserver.cpp
@@ -94,6 +94,8 @@
         response.setContentType("application/json");
         if (!fakeResponse.etag.empty())
             response.set("ETag", '"' + fakeResponse.etag + '"');
+        for (const auto &[name, value] : fakeResponse.headers)
+            response.set(name, value);
         // The rest of an oversized body remains unread, so the connection cannot be used for another request.
         if (fakeResponse.status == 413)
             response.setKeepAlive(false);
--- a/src/programs/fake-shared/fakehttpserver.h
+++ b/src/programs/fake-shared/fakehttpserver.h
@@ -36,7 +36,8 @@
 {
     int status = 200;
     std::string body;
-    std::string etag;                  ///< header ETag without quotation marks; empty: none
+    std::string etag; ///< header ETag without quotation marks; empty: none
+    std::map<std::string, std::string> headers;
     bool closeWithoutResponse = false; ///< close the connection without sending a response
 };
 
--- a/src/programs/fake-statement-platform/main.cpp
+++ b/src/programs/fake-statement-platform/main.cpp
@@ -30,7 +30,8 @@
   --version            show the version
 
 The program writes JSON lines to standard output; the event "ready" holds the store's address. Faults are set by
-`POST /v1/fault`: {"server": 0, "running": false}, {"server": 0, "draining": true}, {"down": true}.
+`POST /v1/fault`: {"server": 0, "running": false}, {"server": 0, "draining": true}, {"down": true}, {"copy": true}, {"restore": true};
+the last one returns the store to the copy.
 It stops at SIGINT or SIGTERM.
 )";
 
--- a/src/programs/fake-statement-platform/objectservice.cpp
+++ b/src/programs/fake-statement-platform/objectservice.cpp
@@ -15,6 +15,9 @@
 using Json = nlohmann::json;
 
 constexpr std::string_view objectsPath = "/api/objects/";
+constexpr const char *eraHeader = "Store-Era";
+/// Marks an entry that its server has to write again.
+constexpr const char *staleEntry = "stale";
 /// Interval at which a waiting watch checks for changes.
 constexpr std::chrono::milliseconds watchPollInterval(5);
 
@@ -44,6 +47,14 @@
         return this->fault(httpRequest);
     if (this->down)
         return FakeHttpResponse{.closeWithoutResponse = true};
+    FakeHttpResponse response = this->handleStoreCall(httpRequest);
+    const std::scoped_lock lock(this->servers.groupMutex());
+    response.headers.emplace(eraHeader, std::to_string(this->store.list().era));
+    return response;
+}
+
+FakeHttpResponse ObjectService::handleStoreCall(const FakeHttpRequest &httpRequest)
+{
     if (httpRequest.path == "/promote")
         return this->promote(httpRequest);
     if (!httpRequest.path.starts_with(objectsPath))
@@ -81,6 +92,9 @@
         }
         if (this->down || httpRequest.isDisconnected())
             return FakeHttpResponse{.closeWithoutResponse = true};
+        if (answer.historyCompacted)
+            return errorResponse(410, ResultCode::NotFound,
+                                 "the history does not contain revision " + std::to_string(from));
         if (!answer.objects.empty() || std::chrono::steady_clock::now() >= end) {
             Json events = Json::array();
             for (const FleetObject &object : answer.objects)
@@ -141,6 +155,12 @@
     if (!body.is_object())
         return errorResponse(400, ResultCode::BadField, "an object is expected");
     this->down = body.value("down", this->down);
+    if (body.value("copy", false)) {
+        const std::scoped_lock lock(this->servers.groupMutex());
+        this->store.takeCopy();
+    }
+    if (body.value("restore", false))
+        this->restoreStore();
     if (body.contains("server")) {
         const std::scoped_lock lock(this->servers.groupMutex());
         const auto server = body["server"].get<std::size_t>();
@@ -152,6 +172,17 @@
     return jsonResponse(200, Json::object());
 }
 
+void ObjectService::restoreStore()
+{
+    const std::scoped_lock lock(this->servers.groupMutex());
+    this->store.restore();
+    this->revisions.clear();
+    for (const FleetObject &object : this->store.list().objects)
+        this->revisions[object.name] = object.revision;
+    for (auto &[name, text] : this->entries)
+        text = this->revisions.contains(name) ? staleEntry : std::string();
+}
+
 std::string ObjectService::entryText(std::size_t server) const
 {
     const StatementGroup &group = this->servers.group();
--- a/src/programs/fake-statement-platform/objectservice.h
+++ b/src/programs/fake-statement-platform/objectservice.h
@@ -12,8 +12,8 @@
 class StatementServers;
 
 /// HTTP interface of the fake platform: an object store with conditional writes and watches, the promotion call, and
-/// fault injection for tests (`POST /v1/fault` with `server` and `running` or `draining`, or with `down`). Keeps the
-/// store's entries of the backend servers up to date. Owned by main; called from the threads of the HTTP server and
+/// fault injection for tests (`POST /v1/fault` with `server` and `running` or `draining`, with `down`, or with `copy` or
+/// `restore`). Keeps the store's entries of the backend servers up to date. Owned by main; called from the threads of the HTTP server and
 /// from the thread that refreshes the entries.
 class ObjectService final
 {
@@ -25,6 +25,9 @@
     void refreshEntries();
 
 private:
+    [[nodiscard]] FakeHttpResponse handleStoreCall(const FakeHttpRequest &httpRequest);
+    /// Returns the store to its copy; the servers write their entries again.
+    void restoreStore();
     [[nodiscard]] FakeHttpResponse list(const std::string &kind);
     [[nodiscard]] FakeHttpResponse watch(const std::string &kind, const FakeHttpRequest &httpRequest);
     [[nodiscard]] FakeHttpResponse write(const std::string &kind, const FakeHttpRequest &httpRequest);
--- a/src/programs/jujubekeel-poolbench/main.cpp
+++ b/src/programs/jujubekeel-poolbench/main.cpp
@@ -12,8 +12,8 @@
 constexpr const char *usage = R"(Simulates entry instances, backend servers and the store in virtual time.
 
 Usage:
-  jujubekeel-poolbench random [--from=SEED] [--runs=N] [--relays]
-  jujubekeel-poolbench trace SEED [--relays]
+  jujubekeel-poolbench random [--from=SEED] [--runs=N] [--relays] [--restored]
+  jujubekeel-poolbench trace SEED [--relays] [--restored]
   jujubekeel-poolbench failover [--seeds=N]
   jujubekeel-poolbench (--help | --version)
 
@@ -22,6 +22,7 @@
   --runs=N     number of runs, one seed each [default: 200]
   --seeds=N    number of seeds for each row of the table [default: 10]
   --relays     nine instances: three are members, the others relay requests to them
+  --restored   the store also returns from an older copy, once or twice in each run
   -h --help    show this text
   --version    show the version
 
@@ -30,19 +31,19 @@
 failover: a table of faults of the primary and of the store, for two lease durations.
 )";
 
-PoolRunResult runSeed(std::uint64_t seed, bool relays)
+PoolRunResult runSeed(std::uint64_t seed, bool relays, bool restored)
 {
-    return runRandomFaults(seed, relays ? largeFleetOptions(seed) : VirtualPoolOptions{});
+    return runRandomFaults(seed, relays ? largeFleetOptions(seed) : VirtualPoolOptions{}, {.restoredStore = restored});
 }
 
-int runRandomSeeds(std::uint64_t from, std::uint64_t runs, bool relays)
+int runRandomSeeds(std::uint64_t from, std::uint64_t runs, bool relays, bool restored)
 {
     std::uint64_t failedRuns = 0;
     std::size_t operations = 0;
     std::size_t answered = 0;
     std::uint64_t promotions = 0;
     for (std::uint64_t seed = from; seed < from + runs; ++seed) {
-        const PoolRunResult result = runSeed(seed, relays);
+        const PoolRunResult result = runSeed(seed, relays, restored);
         operations += result.operations;
         answered += result.answered;
         promotions += result.promotions;
@@ -58,9 +59,9 @@
     return failedRuns == 0 ? 0 : 1;
 }
 
-int traceRun(std::uint64_t seed, bool relays)
+int traceRun(std::uint64_t seed, bool relays, bool restored)
 {
-    const PoolRunResult result = runSeed(seed, relays);
+    const PoolRunResult result = runSeed(seed, relays, restored);
     for (const std::string &line : result.logLines)
         std::printf("%s\n", line.c_str());
     for (const std::string &violation : result.violations)
@@ -78,7 +79,8 @@
         return 0;
     }
     if (options.isGiven("trace"))
-        return traceRun(options.number("SEED", 1, 1'000'000'000), options.isGiven("--relays"));
+        return traceRun(options.number("SEED", 1, 1'000'000'000), options.isGiven("--relays"),
+                        options.isGiven("--restored"));
     return runRandomSeeds(options.number("--from", 1, 1'000'000'000), options.number("--runs", 1, 1'000'000),
-                          options.isGiven("--relays"));
+                          options.isGiven("--relays"), options.isGiven("--restored"));
 }
--- a/src/virtualpool/fleetstore.cpp
+++ b/src/virtualpool/fleetstore.cpp
@@ -6,7 +6,7 @@
 
 FleetStore::Answer FleetStore::list(std::string_view prefix) const
 {
-    Answer answer{.revision = this->revision};
+    Answer answer{.revision = this->revision, .era = this->era};
     for (const auto &[name, object] : this->objects) {
         if (name.starts_with(prefix))
             answer.objects.push_back(object);
@@ -16,7 +16,9 @@
 
 FleetStore::Answer FleetStore::since(std::uint64_t from, std::string_view prefix) const
 {
-    Answer answer{.revision = this->revision, .historyCompacted = from < this->oldestRevision};
+    Answer answer{.revision = this->revision,
+                  .era = this->era,
+                  .historyCompacted = from < this->oldestRevision || from > this->revision};
     for (const FleetObject &object : this->history) {
         if (object.revision > from && object.name.starts_with(prefix))
             answer.objects.push_back(object);
@@ -64,7 +66,7 @@
     const FleetObject object{.name = write.name, .revision = this->revision, .content = write.content};
     this->objects[write.name] = object;
     this->notifyWatches(object);
-    return WriteOutcome{.call = write.call, .result = WriteResult::Ok, .revision = object.revision};
+    return WriteOutcome{.call = write.call, .result = WriteResult::Ok, .revision = object.revision, .era = this->era};
 }
 
 WriteOutcome FleetStore::remove(const DeleteFleetObject &removal)
@@ -79,7 +81,7 @@
     object.deleted = true;
     this->objects.erase(found);
     this->notifyWatches(object);
-    return WriteOutcome{.call = removal.call, .result = WriteResult::Ok, .revision = this->revision};
+    return WriteOutcome{.call = removal.call, .result = WriteResult::Ok, .revision = this->revision, .era = this->era};
 }
 
 void FleetStore::compact()
@@ -88,4 +90,24 @@
     this->oldestRevision = this->revision;
 }
 
+void FleetStore::takeCopy()
+{
+    this->copy = Copy{.objects = this->objects,
+                      .history = this->history,
+                      .revision = this->revision,
+                      .oldestRevision = this->oldestRevision};
+}
+
+void FleetStore::restore()
+{
+    if (!this->copy)
+        return;
+    this->objects = this->copy->objects;
+    this->history = this->copy->history;
+    this->revision = this->copy->revision;
+    this->oldestRevision = this->copy->oldestRevision;
+    this->era += 1;
+    this->watches.clear();
+}
+
 } // namespace Jujubekeel
--- a/src/virtualpool/fleetstore.h
+++ b/src/virtualpool/fleetstore.h
@@ -15,7 +15,7 @@
 namespace Jujubekeel {
 
 /// In-memory fake of the platform's store for the fleet's objects, in virtual time: one revision counter, conditional
-/// writes, lists, long-poll watches and a history that can be compacted. Not synchronised. Owned by VirtualPool or by
+/// writes, lists, long-poll watches and a history that can be compacted. It can return to an older copy of itself. Not synchronised. Owned by VirtualPool or by
 /// the ObjectService of the fake platform.
 class FleetStore final
 {
@@ -26,7 +26,8 @@
     {
         std::vector<FleetObject> objects;
         std::uint64_t revision = 0;
-        bool historyCompacted = false; ///< changes after the requested revision are no longer known; list again
+        std::uint64_t era = 0;
+        bool historyCompacted = false; ///< the requested revision is not in the history; list again
     };
 
     /// Objects whose names begin with \a prefix.
@@ -40,6 +41,11 @@
     [[nodiscard]] WriteOutcome remove(const DeleteFleetObject &removal);
     /// Drops the history of changes; watches from an earlier revision are answered with historyCompacted.
     void compact();
+    /// Takes the copy to which restore() returns.
+    void takeCopy();
+    /// Returns to the copy, if there is one: later changes are gone, their revisions are given out again, and the era
+    /// rises by one. Watches that are waiting get no answer.
+    void restore();
 
     std::uint64_t calls = 0; ///< watches, writes and removals since the start
 
@@ -50,6 +56,14 @@
         std::function<void(Answer answer)> done;
     };
 
+    struct Copy
+    {
+        std::map<std::string, FleetObject> objects;
+        std::vector<FleetObject> history;
+        std::uint64_t revision = 0;
+        std::uint64_t oldestRevision = 0;
+    };
+
     /// Adds the change to the history and answers all open watches.
     void notifyWatches(FleetObject object);
 
@@ -59,6 +73,8 @@
     std::map<std::uint64_t, Watch> watches;
     std::uint64_t nextWatch = 1;
     std::uint64_t revision = 1;
+    std::uint64_t era = 1;
+    std::optional<Copy> copy;
     std::uint64_t oldestRevision = 1; ///< changes after this revision are in the history
 };
 
--- a/src/virtualpool/poolfaults.cpp
+++ b/src/virtualpool/poolfaults.cpp
@@ -3,6 +3,7 @@
 #include "virtualpool/poolchecker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Jujubekeel {
 
@@ -15,6 +16,29 @@
 constexpr std::uint64_t faultWindowMs = 10000;
 constexpr std::uint64_t maxFaults = 5;
 
+/// Takes a copy of the store, which returns from it up to 8 s later.
+void scheduleRestoration(VirtualPool &pool, SeededRandom &random)
+{
+    const auto draw = [&](std::uint64_t from, std::uint64_t below) {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
+    };
+    const Duration copyAt = draw(0, 7000);
+    const Duration outageAt = copyAt + draw(200, 6000);
+    const Duration outage = draw(100, 2500);
+    pool.at(copyAt, [&pool] {
+        pool.note("store copied");
+        pool.store().takeCopy();
+    });
+    pool.at(outageAt, [&pool] {
+        pool.note("store away");
+        pool.setStoreAvailable(false);
+    });
+    pool.at(outageAt + outage, [&pool] {
+        pool.note("store restored");
+        pool.returnStoreFromCopy();
+    });
+}
+
 } // namespace
 
 void applyRandomFault(VirtualPool &pool, SeededRandom &random)
@@ -92,7 +116,7 @@
     return options;
 }
 
-PoolRunResult runRandomFaults(std::uint64_t seed, VirtualPoolOptions options)
+PoolRunResult runRandomFaults(std::uint64_t seed, VirtualPoolOptions options, PoolFaultOptions faultOptions)
 {
     options.seed = seed;
     SeededRandom random(seed);
@@ -105,10 +129,17 @@
         const auto delay = static_cast<std::int64_t>(random.below(faultWindowMs));
         pool.at(std::chrono::milliseconds(delay), [&] { applyRandomFault(pool, random); });
     }
+    if (faultOptions.restoredStore) {
+        for (std::uint64_t count = 1 + random.below(2); count > 0; --count)
+            scheduleRestoration(pool, random);
+    }
     pool.run(runTime);
 
+    std::vector<std::string> violations = findViolations(pool.group().history(), workload);
+    const std::vector<std::string> &fencing = pool.fencingViolations();
+    violations.insert(violations.end(), fencing.begin(), fencing.end());
     const auto &all = workload.operations();
-    return PoolRunResult{.violations = findViolations(pool.group().history(), workload),
+    return PoolRunResult{.violations = std::move(violations),
                          .operations = all.size(),
                          .answered = static_cast<std::size_t>(std::count_if(
                              all.begin(), all.end(), [](const PoolOperation &entry) { return entry.answered; })),
--- a/src/virtualpool/poolfaults.h
+++ b/src/virtualpool/poolfaults.h
@@ -14,6 +14,12 @@
 /// is healed automatically after 0.3 to 6.3 s, some kinds after half or a quarter of that.
 void applyRandomFault(VirtualPool &pool, SeededRandom &random);
 
+/// Faults of a run beside the random ones.
+struct PoolFaultOptions
+{
+    bool restoredStore = false; ///< the store returns from an older copy, once or twice
+};
+
 /// Result of one run under load.
 struct PoolRunResult
 {
@@ -25,8 +31,9 @@
 };
 
 /// Runs the default load of PoolWorkload for 12 s with one to five random faults, lets the fleet settle and checks the
-/// run with findViolations().
-[[nodiscard]] PoolRunResult runRandomFaults(std::uint64_t seed, VirtualPoolOptions options = {});
+/// run with findViolations() and VirtualPool::fencingViolations().
+[[nodiscard]] PoolRunResult runRandomFaults(std::uint64_t seed, VirtualPoolOptions options = {},
+                                            PoolFaultOptions faultOptions = {});
 
 /// Nine instances in three failure domains. One in each domain is a member; the others relay their work to members.
 [[nodiscard]] VirtualPoolOptions largeFleetOptions(std::uint64_t seed);
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -58,7 +58,7 @@
     }
     node.core = std::make_unique<PoolCore>(std::move(pool), this->options.leadership);
     node.boot += 1;
-    node.knownRevision = 0;
+    node.knownVersion = StoreVersion{};
     node.plan = WatchPlan{.fleet = FleetWatchMode::Suspended, .routes = false, .servers = false};
     node.listsFleet = false;
     node.tickAt = TimePoint{0};
@@ -260,6 +260,7 @@
     } else if (auto *promotion = std::get_if<PromoteServer>(&action)) {
         this->events.add(this->events.now() + this->options.storeDelay, [this, instance, boot, call = *promotion] {
             this->promotionCount += 1;
+            this->recordToken(call);
             this->at(this->options.group.promotion + this->options.storeDelay, [this] { this->announceServers(); });
             PromotionOutcome outcome{.call = call.call, .result = PromotionResult::NotRunning};
             for (std::size_t server = 0; server < this->servers->size(); ++server) {
@@ -280,6 +281,25 @@
     }
 }
 
+void VirtualPool::recordToken(const PromoteServer &call)
+{
+    const bool sameHolder = call.holder == this->highestTokenHolder;
+    if (call.fencingToken < this->highestToken || (call.fencingToken == this->highestToken && !sameHolder))
+        this->fencingMisuse.push_back("promotion by " + call.holder + " with token " + std::to_string(call.fencingToken)
+                                      + " after token " + std::to_string(this->highestToken) + " of "
+                                      + this->highestTokenHolder);
+    if (call.fencingToken < this->highestToken)
+        return;
+    this->highestToken = call.fencingToken;
+    this->highestTokenHolder = call.holder;
+}
+
+void VirtualPool::returnStoreFromCopy()
+{
+    this->fleetStore.restore();
+    this->storeAvailable = true;
+}
+
 void VirtualPool::openLink(std::size_t instance, const OpenLink &action)
 {
     if (RelayConnections::isRelay(action.address)) {
@@ -369,10 +389,11 @@
         this->input(instance, boot, [this, instance, boot, chain, requestedAt, answer](PoolCore &core) {
             if (this->nodes[instance]->fleetWatch != chain)
                 return;
-            this->nodes[instance]->knownRevision = answer.revision;
+            this->nodes[instance]->knownVersion = {.era = answer.era, .revision = answer.revision};
             core.fleetUpdated(this->events.now(), FleetUpdate{.complete = true,
                                                               .objects = answer.objects,
                                                               .revision = answer.revision,
+                                                              .era = answer.era,
                                                               .requestedAt = requestedAt});
             this->at(Duration{0}, [this, instance, boot, chain] { this->watchFleet(instance, boot, chain); });
         });
@@ -417,16 +438,18 @@
                 instance, boot, [this, instance, boot, chain, requestedAt, wait, listAgain, answer](PoolCore &core) {
                     if (this->nodes[instance]->fleetWatch != chain)
                         return;
-                    if (answer.historyCompacted) {
+                    // The revision that was watched from has another meaning in another era.
+                    if (answer.historyCompacted || answer.era != this->nodes[instance]->knownVersion.era) {
                         listAgain();
                         return;
                     }
-                    this->nodes[instance]->knownRevision = answer.revision;
+                    this->nodes[instance]->knownVersion = {.era = answer.era, .revision = answer.revision};
                     // A watch that ends without changes confirms the revision up to the end of its wait.
                     const bool isWaitOver = answer.objects.empty() && this->events.now() - requestedAt >= wait;
                     core.fleetUpdated(this->events.now(),
                                       FleetUpdate{.objects = answer.objects,
                                                   .revision = answer.revision,
+                                                  .era = answer.era,
                                                   .requestedAt = isWaitOver ? requestedAt + wait : requestedAt});
                     const Duration pause =
                         answer.objects.empty() ? Duration{0} : this->pauseAfterUpdate(core.watchPlan().fleet);
@@ -436,7 +459,7 @@
     };
     this->events.add(requestedAt + this->options.storeDelay, [this, instance, boot, chain, wait, answered] {
         if (this->continuesFleetWatch(instance, boot, chain))
-            this->fleetStore.watch(this->nodes[instance]->knownRevision, wait, answered);
+            this->fleetStore.watch(this->nodes[instance]->knownVersion.revision, wait, answered);
     });
 }
 
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -86,6 +86,8 @@
     void freezeInstance(std::size_t instance, Duration duration);
     void setStoreReachable(std::size_t instance, bool reachable) { this->nodes.at(instance)->reachesStore = reachable; }
     void setStoreAvailable(bool available) { this->storeAvailable = available; }
+    /// Ends an outage of the store, which returns from the copy that FleetStore::takeCopy() took.
+    void returnStoreFromCopy();
     /// Drops all messages between two instances without closing their connections.
     void isolateInstances(std::size_t left, std::size_t right, bool isolated);
     /// Drops all messages between an instance and a server without closing their connections.
@@ -107,6 +109,8 @@
     void note(const std::string &text);
     [[nodiscard]] std::size_t countLogs(std::string_view event) const;
     [[nodiscard]] std::uint64_t promotions() const { return this->promotionCount; }
+    /// Descriptions of promotion calls whose fencing token was not above those of other holders.
+    [[nodiscard]] const std::vector<std::string> &fencingViolations() const { return this->fencingMisuse; }
     /// Sends a route table for \a databases to all instances that reach the store, after the store's delay. An instance
     /// uses it if its version is higher than that of its current table.
     void publishRoutes(std::uint64_t version, const std::set<std::string> &databases);
@@ -125,7 +129,7 @@
         std::set<std::size_t> isolatedInstances;
         TimePoint frozenUntil{0};
         TimePoint tickAt{0};
-        std::uint64_t knownRevision = 0;
+        StoreVersion knownVersion;
         WatchPlan plan;               ///< last applied
         std::uint64_t fleetWatch = 0; ///< incremented when a new chain of fleet requests starts, which ends the former
         bool listsFleet = false;      ///< a chain of fleet requests is in progress
@@ -157,6 +161,8 @@
     void watchFleet(std::size_t instance, std::uint64_t boot, std::uint64_t chain);
     [[nodiscard]] Duration pauseAfterUpdate(FleetWatchMode mode) const;
     [[nodiscard]] bool continuesFleetWatch(std::size_t instance, std::uint64_t boot, std::uint64_t chain);
+    /// Checks the fencing token of a promotion call.
+    void recordToken(const PromoteServer &call);
     void writeStore(std::size_t instance, const std::function<WriteOutcome()> &work, std::uint64_t call);
     void announceServers();
     void scheduleTick(std::size_t instance);
@@ -180,6 +186,9 @@
     OnReply onReply;
     std::vector<std::string> lines;
     std::uint64_t promotionCount = 0;
+    std::uint64_t highestToken = 0; ///< of all promotion calls
+    std::string highestTokenHolder;
+    std::vector<std::string> fencingMisuse;
     std::uint64_t routeVersion = 1;
     std::set<std::string> databases{primaryRoute, boundedRoute, ownRoute};
     bool storeAvailable = true;
--- a/tests/pool/poolsupport.h
+++ b/tests/pool/poolsupport.h
@@ -6,7 +6,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace Jujubekeel {
 
@@ -31,4 +36,39 @@
     return text;
 }
 
+/// A pool under load for 12 s. finish() lets the load end and checks the guarantees for all operations.
+class LoadedPool
+{
+public:
+    explicit LoadedPool(std::uint64_t seed = 1, VirtualPoolOptions options = {})
+        : pool([&] {
+              options.seed = seed;
+              return options;
+          }()),
+          workload(this->pool, {.seed = seed})
+    {
+        this->pool.run(std::chrono::seconds(2));
+        this->end = this->pool.now() + std::chrono::seconds(12);
+        this->workload.start(this->end);
+    }
+
+    void finish()
+    {
+        this->pool.run(std::chrono::seconds(20));
+        EXPECT_EQ(joined(findViolations(this->pool.group().history(), this->workload)), "");
+    }
+    [[nodiscard]] std::size_t answered() const
+    {
+        const auto &all = this->workload.operations();
+        return static_cast<std::size_t>(
+            std::count_if(all.begin(), all.end(), [](const PoolOperation &entry) { return entry.answered; }));
+    }
+    /// Longest time without an acknowledged write, from \a from to the end of the load.
+    [[nodiscard]] Duration writeGap(TimePoint from) const { return this->workload.longestWriteGap(from, this->end); }
+
+    VirtualPool pool;
+    PoolWorkload workload;
+    TimePoint end{0};
+};
+
 } // namespace Jujubekeel
--- /dev/null
+++ b/tests/pool/restoredstoretest.cpp
@@ -0,0 +1,193 @@
+#include "pool/poolsupport.h"
+#include "virtualpool/poolfaults.h"
+
+#include <algorithm>
+#include <string>
+
+namespace Jujubekeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Target for a replaced primary: 2 s without writes, beyond the promotion time of the platform.
+constexpr Duration replacementTarget = milliseconds(2300);
+/// Longest time without writes after a replacement that lost its records, as after lost answers of the store.
+constexpr Duration interruptedReplacementTarget = seconds(8);
+constexpr Duration restoreOutage = milliseconds(1500);
+
+/// Takes the store away for restoreOutage; it returns from its copy.
+void restoreStore(VirtualPool &pool)
+{
+    pool.setStoreAvailable(false);
+    pool.run(restoreOutage);
+    pool.returnStoreFromCopy();
+}
+
+/// Runs the pool until its log contains \a event, for up to 10 s. Returns the instance that logged it first.
+std::size_t runUntilLogged(VirtualPool &pool, const std::string &event)
+{
+    for (int step = 0; step < 10000; ++step) {
+        for (const std::string &line : pool.logLines()) {
+            if (line.starts_with('i') && line.find(" " + event + " ") != std::string::npos)
+                return static_cast<std::size_t>(line.at(1) - '0');
+        }
+        pool.run(milliseconds(1));
+    }
+    ADD_FAILURE() << "no event " << event;
+    return 0;
+}
+
+void expectIncreasingTokens(const VirtualPool &pool)
+{
+    EXPECT_EQ(joined(pool.fencingViolations()), "");
+}
+
+// Guards against an outage without end: registrations and leadership records written under revisions that the restored
+// store does not have, so that leases expire and no primary is replaced any more.
+TEST(RestoredStore, PrimaryIsReplacedAfterTheStoreReturned)
+{
+    LoadedPool run;
+    run.pool.run(seconds(1));
+    run.pool.store().takeCopy();
+    run.pool.stopServer(0);
+    run.pool.run(seconds(2));
+    ASSERT_EQ(run.pool.promotions(), 1U);
+    restoreStore(run.pool);
+    run.pool.startServer(0);
+    run.pool.run(seconds(4));
+    const TimePoint crash = run.pool.now();
+    run.pool.stopServer(run.pool.group().isPrimary(1) ? 1 : 2);
+    run.finish();
+    EXPECT_EQ(run.pool.promotions(), 2U);
+    EXPECT_LE(run.writeGap(crash), replacementTarget);
+    expectIncreasingTokens(run.pool);
+}
+
+// Guards against a restored store interrupting work although no primary has failed.
+TEST(RestoredStore, NoWorkIsInterruptedWithoutAFailure)
+{
+    LoadedPool run;
+    run.pool.run(seconds(1));
+    run.pool.store().takeCopy();
+    run.pool.run(seconds(2));
+    const TimePoint outage = run.pool.now();
+    restoreStore(run.pool);
+    run.finish();
+    EXPECT_EQ(run.answered(), run.workload.operations().size());
+    EXPECT_LE(run.writeGap(outage), milliseconds(500));
+    EXPECT_EQ(run.pool.promotions(), 0U);
+}
+
+// Guards against a replacement that neither continues nor ends because its announcement is not in the copy.
+TEST(RestoredStore, InterruptedReplacementFinishes)
+{
+    for (const std::string event : {"replacement-started", "primary-released", "candidate-chosen"}) {
+        LoadedPool run;
+        run.pool.run(seconds(2));
+        run.pool.store().takeCopy();
+        const TimePoint crash = run.pool.now();
+        run.pool.stopServer(0);
+        runUntilLogged(run.pool, event);
+        restoreStore(run.pool);
+        run.finish();
+        EXPECT_LE(run.writeGap(crash), interruptedReplacementTarget) << event;
+        EXPECT_GE(run.pool.countLogs("replacement-finished"), 1U) << event;
+        expectIncreasingTokens(run.pool);
+    }
+}
+
+// Guards against an instance that starts on the restored store and uses a replaced primary, which does not know of its
+// replacement either, because the record of it is not in the copy.
+TEST(RestoredStore, StartedInstanceDoesNotUseAReplacedPrimary)
+{
+    LoadedPool run;
+    run.pool.run(seconds(1));
+    run.pool.store().takeCopy();
+    run.pool.group().setReplicationIsolated(0, true);
+    run.pool.isolateInstanceFromServer(1, 0, true);
+    run.pool.isolateInstanceFromServer(2, 0, true);
+    runUntilLogged(run.pool, "replacement-finished");
+    run.pool.setStoreAvailable(false);
+    run.pool.killInstance(0);
+    run.pool.run(restoreOutage);
+    run.pool.returnStoreFromCopy();
+    run.pool.startInstance(0);
+    run.finish();
+    expectIncreasingTokens(run.pool);
+}
+
+// Guards against a new replacement that does not wait for a member whose registration is not in the copy: the member
+// does not reach the store and still uses the primary on the lease that it had before.
+TEST(RestoredStore, MembersOfBeforeAreWaitedFor)
+{
+    VirtualPoolOptions options{.instances = 4};
+    LoadedPool run(1, options);
+    run.pool.killInstance(3);
+    run.pool.run(milliseconds(500));
+    run.pool.store().takeCopy();
+    run.pool.startInstance(3);
+    run.pool.run(seconds(2));
+    run.pool.setStoreReachable(3, false);
+    restoreStore(run.pool);
+    run.pool.run(milliseconds(100));
+    run.pool.group().setReplicationIsolated(0, true);
+    for (std::size_t instance = 0; instance < 3; ++instance)
+        run.pool.isolateInstanceFromServer(instance, 0, true);
+    run.finish();
+    EXPECT_GE(run.pool.promotions(), 1U);
+    expectIncreasingTokens(run.pool);
+}
+
+// Guards against a service without a usable primary after all instances that knew of its replacement have been killed:
+// the record in the copy names a server that has become a replica.
+TEST(RestoredStore, PrimaryIsFoundWhenNoInstanceRemembersIt)
+{
+    LoadedPool run;
+    run.pool.run(milliseconds(500));
+    run.pool.store().takeCopy();
+    run.pool.stopServer(0);
+    runUntilLogged(run.pool, "replacement-finished");
+    run.pool.startServer(0);
+    run.pool.run(seconds(1));
+    run.pool.setStoreAvailable(false);
+    for (std::size_t instance = 0; instance < 3; ++instance)
+        run.pool.killInstance(instance);
+    run.pool.run(milliseconds(500));
+    run.pool.returnStoreFromCopy();
+    for (std::size_t instance = 0; instance < 3; ++instance)
+        run.pool.startInstance(instance);
+    const TimePoint restarted = run.pool.now();
+    run.finish();
+    const auto &all = run.workload.operations();
+    const auto first = std::find_if(all.begin(), all.end(), [&](const PoolOperation &entry) {
+        return entry.acknowledged && entry.endedAt > restarted;
+    });
+    ASSERT_NE(first, all.end());
+    EXPECT_LE(first->endedAt - restarted, interruptedReplacementTarget);
+    expectIncreasingTokens(run.pool);
+}
+
+class RestoredStoreFaults : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against a restored store breaking any of the guarantees beside other faults.
+TEST_P(RestoredStoreFaults, KeepTheGuarantees)
+{
+    EXPECT_EQ(joined(runRandomFaults(GetParam(), {}, {.restoredStore = true}).violations), "");
+}
+
+// The same in a fleet whose relaying instances read neither records nor members from the store.
+TEST_P(RestoredStoreFaults, KeepTheGuaranteesInALargeFleet)
+{
+    EXPECT_EQ(joined(runRandomFaults(GetParam(), largeFleetOptions(GetParam()), {.restoredStore = true}).violations),
+              "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RestoredStoreFaults, testing::Range<std::uint64_t>(1, 61));
+
+} // namespace
+
+} // namespace Jujubekeel
