Objects of the fleet are ordered by the era and revision of the store

Callers saw: from a lease (6 s) after the store's return no statement of a primary was answered, and a primary that failed was not replaced: an outage without end. Cause: FleetView, registrations, replacements and the change feed ordered by the revision alone. Objects with lower revisions were ignored, and registrations were written under revisions that the restored store does not have: 409 for ever. Change: versions are (era, revision). In a new era an instance registers again under what the store now holds, and abandons replacements in progress; what it verified before stays valid until its lease ends, so work is not interrupted. Results of writes in another era are not taken for a registration or an announcement. The change feed carries the era.

--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -26,37 +26,42 @@
 {
     if (update.reported)
         return this->applyReported(update, now);
-    if (update.revision < this->knownRevision)
+    const StoreVersion version = update.version();
+    // Changes since a version of another era do not continue this view.
+    const bool continues = update.complete || version.era == this->knownVersion.era || this->revision() == 0;
+    if (version < this->knownVersion || !continues)
         return false;
     if (update.complete)
         this->removeMissing(update);
     for (const FleetObject &object : update.objects)
-        this->applyObject(object, now);
-    this->knownRevision = update.revision;
+        this->applyObject(object, version.era, now);
+    this->knownVersion = version;
     return true;
 }
 
 bool FleetView::applyReported(const FleetUpdate &update, TimePoint now)
 {
-    if (update.revision < this->memberRevision())
+    if (update.version() < this->memberVersion())
         return false;
-    // The revision of the view stays as it is: a report does not contain the leadership records, whose changes must
+    // The version of the view stays as it is: a report does not contain the leadership records, whose changes must
     // still be accepted from the store.
-    this->reportedRevision = update.revision;
+    this->reportedVersion = update.version();
     std::set<std::string, std::less<>> present;
     for (const FleetObject &object : update.objects) {
         if (!object.name.starts_with(memberPrefix))
             continue;
         present.insert(object.name);
-        this->applyObject(object, now);
+        // The report is newer than the view, also where a restored store has given the object a lower revision.
+        this->memberRows.erase(object.name.substr(memberPrefix.size()));
+        this->applyObject(object, update.era, now);
     }
     std::erase_if(this->memberRows, [&](const auto &row) { return !present.contains(memberName(row.first)); });
     return true;
 }
 
-std::uint64_t FleetView::memberRevision() const
+StoreVersion FleetView::memberVersion() const
 {
-    return std::max(this->knownRevision, this->reportedRevision);
+    return std::max(this->knownVersion, this->reportedVersion);
 }
 
 std::uint64_t FleetView::memberDigest() const
@@ -89,23 +94,24 @@
     std::erase_if(this->memberRows, [&](const auto &row) { return !present.contains(memberName(row.first)); });
 }
 
-void FleetView::applyObject(const FleetObject &object, TimePoint now)
+void FleetView::applyObject(const FleetObject &object, std::uint64_t era, TimePoint now)
 {
     const std::string_view name = object.name;
+    const StoreVersion version{.era = era, .revision = object.revision};
     if (name.starts_with(recordPrefix)) {
         const std::string service(name.substr(recordPrefix.size()));
         auto record = LeadershipRecord::fromText(object.content);
         if (object.deleted)
             this->recordRows.erase(service);
-        else if (record && this->recordRows[service].revision < object.revision)
-            this->recordRows[service] = Record{.record = *record, .revision = object.revision, .seenAt = now};
+        else if (record && this->recordRows[service].version < version)
+            this->recordRows[service] = Record{.record = *record, .version = version, .seenAt = now};
     } else if (name.starts_with(memberPrefix)) {
         const std::string instance(name.substr(memberPrefix.size()));
         auto record = MemberRecord::fromText(object.content);
         if (object.deleted)
             this->memberRows.erase(instance);
-        else if (record && this->memberRows[instance].revision < object.revision)
-            this->memberRows[instance] = Member{.record = *record, .revision = object.revision, .seenAt = now};
+        else if (record && this->memberRows[instance].version < version)
+            this->memberRows[instance] = Member{.record = *record, .version = version, .seenAt = now};
     }
 }
 
@@ -121,11 +127,17 @@
     return found == this->memberRows.end() ? nullptr : &found->second;
 }
 
+const FleetView::Member *FleetView::currentMember(std::string_view instance) const
+{
+    const Member *found = this->member(instance);
+    return found != nullptr && found->version.era == this->knownVersion.era ? found : nullptr;
+}
+
 std::string FleetView::lastHolder() const
 {
     const auto last =
         std::max_element(this->recordRows.begin(), this->recordRows.end(), [](const auto &left, const auto &right) {
-            return left.second.revision < right.second.revision;
+            return left.second.version < right.second.version;
         });
     return last == this->recordRows.end() ? std::string() : last->second.record.holder;
 }
--- a/src/leadership/fleetview.h
+++ b/src/leadership/fleetview.h
@@ -12,8 +12,9 @@
 
 namespace Jujubekeel {
 
-/// Local copy of the fleet's objects in the store. Of two versions of an object the one with the higher revision is
-/// kept. Owned by RegistrationSystem.
+/// Local copy of the fleet's objects in the store. Of two versions of an object the higher one is kept. Versions are
+/// ordered by era and revision, because a store that returns from an older copy gives out revisions again. Owned by
+/// RegistrationSystem.
 class FleetView final
 {
 public:
@@ -21,14 +22,14 @@
     struct Record
     {
         LeadershipRecord record;
-        std::uint64_t revision = 0;
+        StoreVersion version;
         TimePoint seenAt{0}; ///< arrival of this version at this instance
     };
     /// Registration of one instance.
     struct Member
     {
         MemberRecord record;
-        std::uint64_t revision = 0;
+        StoreVersion version;
         TimePoint seenAt{0};
     };
 
@@ -43,24 +44,28 @@
     [[nodiscard]] const Member *member(std::string_view instance) const;
     [[nodiscard]] const std::map<std::string, Record, std::less<>> &records() const { return this->recordRows; }
     [[nodiscard]] const std::map<std::string, Member, std::less<>> &members() const { return this->memberRows; }
-    /// Store revision that the view reflects; 0: nothing has been read yet.
-    [[nodiscard]] std::uint64_t revision() const { return this->knownRevision; }
-    /// Store revision that the members in the view reflect, which may have been reported by another instance.
-    [[nodiscard]] std::uint64_t memberRevision() const;
+    /// Version of the store that the view reflects; revision 0: nothing has been read yet.
+    [[nodiscard]] StoreVersion version() const { return this->knownVersion; }
+    [[nodiscard]] std::uint64_t revision() const { return this->knownVersion.revision; }
+    /// The registration of an instance, if it was written in the present era of the store.
+    [[nodiscard]] const Member *currentMember(std::string_view instance) const;
+    /// Version of the store that the members in the view reflect, which may have been reported by another instance.
+    [[nodiscard]] StoreVersion memberVersion() const;
+    [[nodiscard]] std::uint64_t memberRevision() const { return this->memberVersion().revision; }
     /// Differs between views whose members differ in what concerns relaying instances.
     [[nodiscard]] std::uint64_t memberDigest() const;
     /// Instance that last replaced a primary of any service; empty if there was none.
     [[nodiscard]] std::string lastHolder() const;
 
 private:
-    void applyObject(const FleetObject &object, TimePoint now);
+    void applyObject(const FleetObject &object, std::uint64_t era, TimePoint now);
     bool applyReported(const FleetUpdate &update, TimePoint now);
     void removeMissing(const FleetUpdate &update);
 
     std::map<std::string, Record, std::less<>> recordRows; ///< by service
     std::map<std::string, Member, std::less<>> memberRows; ///< by instance
-    std::uint64_t knownRevision = 0;
-    std::uint64_t reportedRevision = 0; ///< of the last report of a member
+    StoreVersion knownVersion;
+    StoreVersion reportedVersion; ///< of the last report of a member
 };
 
 } // namespace Jujubekeel
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -25,20 +25,23 @@
 void RegistrationSystem::fleetUpdated(const FleetUpdate &update)
 {
     // An answer that was overtaken by a later one verifies nothing.
+    const StoreVersion before = this->view.version();
     if (!this->view.apply(update, this->world.now))
         return;
     this->readAt = std::max(this->readAt, update.requestedAt);
-    const FleetView::Member *own = this->view.member(this->world.options.instance);
+    if (before.revision != 0 && before.era != this->view.version().era)
+        this->eraChanged(before.era);
+    const FleetView::Member *own = this->view.currentMember(this->world.options.instance);
     if (own != nullptr)
-        this->ownRevision = std::max(this->ownRevision, own->revision);
-    const bool registrationLost =
-        own == nullptr ? this->view.revision() >= this->ownRevision
-                       : own->revision >= this->ownRevision && own->record.incarnation != this->desired.incarnation;
+        this->ownRevision = std::max(this->ownRevision, own->version.revision);
+    const bool registrationLost = own == nullptr ? this->view.revision() >= this->ownRevision
+                                                 : own->version.revision >= this->ownRevision
+                                                       && own->record.incarnation != this->desired.incarnation;
     if (this->registered && registrationLost) {
         // Without a registration no instance that replaces a primary waits for this one.
         this->registered = false;
         this->resetVerification();
-        this->ownRevision = own == nullptr ? 0 : own->revision;
+        this->ownRevision = own == nullptr ? 0 : own->version.revision;
     } else if (own == nullptr && !this->registered && this->writeCall == 0) {
         this->ownRevision = 0;
     }
@@ -46,6 +49,23 @@
     this->acceptVerification(update.requestedAt);
 }
 
+void RegistrationSystem::eraChanged(std::uint64_t earlier)
+{
+    this->world.log(LogLevel::Warning, "store-era-changed",
+                    {{"era", std::to_string(this->view.version().era)},
+                     {"earlier", std::to_string(earlier)},
+                     {"revision", std::to_string(this->view.revision())}});
+    this->world.counters.add("jujubekeel_pool_store_era_changes_total");
+    if (this->unregistering)
+        return;
+    // The store may have lost the registration, and its revisions have another meaning. What was verified before stays
+    // valid until the authority lease expires.
+    this->registered = false;
+    this->written = MemberRecord{};
+    this->writeCall = 0;
+    this->ownRevision = 0;
+}
+
 void RegistrationSystem::membersReported(const FleetUpdate &update)
 {
     if (this->registered || this->writeCall != 0)
@@ -112,7 +132,9 @@
         this->unregistered = true;
         return true;
     }
-    if (outcome.result == WriteResult::Ok) {
+    // A write that took effect in an era that this instance has not seen yet registers it, but under a revision whose
+    // history is unknown. It is repeated when the objects have been listed.
+    if (outcome.result == WriteResult::Ok && outcome.era == this->view.version().era) {
         this->ownRevision = outcome.revision;
         if (!this->registered) {
             this->registered = true;
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -67,6 +67,8 @@
     [[nodiscard]] bool isFleetViewCurrent() const;
 
 private:
+    /// The store has returned from an older copy: registers again.
+    void eraChanged(std::uint64_t earlier);
     /// Counts an update requested at \a requestedAt as a verification; ends the registration if the authority lease has
     /// expired.
     void acceptVerification(TimePoint requestedAt);
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -16,6 +16,15 @@
 /// Timeout of a status request.
 constexpr Duration statusTimeout = std::chrono::milliseconds(400);
 
+/// Bits of a fencing token that hold the revision.
+constexpr unsigned revisionBits = 40;
+
+/// Rises with each announcement also when the store has returned from an older copy and gives out revisions again.
+std::uint64_t fencingToken(StoreVersion announced)
+{
+    return announced.revision;
+}
+
 bool hasReleased(const FleetView::Member &member, const ServiceRow &service, std::uint64_t epoch)
 {
     const auto released = member.record.released.find(service.name);
@@ -59,8 +68,8 @@
     const FleetView::Record &known = *this->registration.fleet().record(this->world.services.at(id).name);
     Replacement replacement{.step = Step::AwaitRelease,
                             .record = known.record,
-                            .expectedRevision = known.revision,
-                            .token = known.revision,
+                            .expectedRevision = known.version.revision,
+                            .announced = known.version,
                             .startedAt = this->world.now,
                             .announcedAt = this->world.now,
                             .stepAt = this->world.now};
@@ -75,7 +84,7 @@
     const ServiceRow &service = this->world.services.at(id);
     const FleetView::Record *known = this->registration.fleet().record(service.name);
     Replacement replacement{.startedAt = this->world.now, .stepAt = this->world.now};
-    replacement.expectedRevision = known == nullptr ? 0 : known->revision;
+    replacement.expectedRevision = known == nullptr ? 0 : known->version.revision;
     replacement.record = LeadershipRecord{.epoch = (known == nullptr ? 0 : known->record.epoch) + 1,
                                           .term = known == nullptr ? 0 : known->record.term,
                                           .primary = service.primaryId,
@@ -117,6 +126,13 @@
     replacement.statuses.clear();
 }
 
+void ReplacementSystem::eraChanged()
+{
+    // A replacement whose record this instance still knows is resumed under the revisions of the new era.
+    this->replacements.clear();
+    this->evictionCalls.clear();
+}
+
 bool ReplacementSystem::writeFinished(const WriteOutcome &outcome)
 {
     if (this->evictionCalls.erase(outcome.call) > 0)
@@ -125,8 +141,12 @@
         if (replacement.call != outcome.call)
             continue;
         replacement.call = 0;
-        if (outcome.result == WriteResult::Ok && replacement.step == Step::Announce) {
-            replacement.token = outcome.revision;
+        const StoreVersion written{.era = outcome.era, .revision = outcome.revision};
+        if (outcome.result == WriteResult::Ok && written.era != this->registration.fleet().version().era) {
+            // The record is in a store that this instance has not read since it was restored. It is resumed from there.
+            this->replacements.erase(id);
+        } else if (outcome.result == WriteResult::Ok && replacement.step == Step::Announce) {
+            replacement.announced = written;
             replacement.expectedRevision = outcome.revision;
             replacement.announcedAt = this->world.now;
             this->enter(replacement, Step::AwaitRelease);
@@ -190,7 +210,7 @@
 bool ReplacementSystem::isSuperseded(const ServiceRow &service, const Replacement &replacement) const
 {
     const FleetView::Record *known = this->registration.fleet().record(service.name);
-    return known != nullptr && known->revision > replacement.expectedRevision;
+    return known != nullptr && known->version.revision > replacement.expectedRevision;
 }
 
 bool ReplacementSystem::advanceOne(ServiceId id, Replacement &replacement)
@@ -205,7 +225,7 @@
         return false;
     case Step::AwaitRelease:
         // The view of the members must be at least as recent as the announcement.
-        if (this->registration.fleet().revision() < replacement.token || !this->allReleased(service, replacement))
+        if (this->registration.fleet().version() < replacement.announced || !this->allReleased(service, replacement))
             return true;
         this->evictSilentMembers(service, replacement);
         this->enter(replacement, Step::Choose);
@@ -286,11 +306,14 @@
         this->evictionCalls.insert(call);
         const std::string name = FleetView::memberName(instance);
         if (evicted) {
-            this->world.emit(DeleteFleetObject{.call = call, .name = name, .expectedRevision = member.revision});
+            this->world.emit(
+                DeleteFleetObject{.call = call, .name = name, .expectedRevision = member.version.revision});
             continue;
         }
-        this->world.emit(WriteFleetObject{
-            .call = call, .name = name, .expectedRevision = member.revision, .content = MemberRecord{}.toText()});
+        this->world.emit(WriteFleetObject{.call = call,
+                                          .name = name,
+                                          .expectedRevision = member.version.revision,
+                                          .content = MemberRecord{}.toText()});
         this->world.log(LogLevel::Warning, "member-struck-off", {{"member", instance}, {"service", service.name}});
     }
 }
@@ -380,7 +403,7 @@
                      {"received", std::to_string(replacement.statuses.at(best).received.position)},
                      {"answered", std::to_string(answered)},
                      {"of", std::to_string(candidates.size())},
-                     {"token", std::to_string(replacement.token)}});
+                     {"token", std::to_string(fencingToken(replacement.announced))}});
     return true;
 }
 
@@ -422,7 +445,7 @@
                                    .service = this->world.services.at(id).name,
                                    .server = replacement.record.candidate,
                                    .holder = this->world.options.instance,
-                                   .fencingToken = replacement.token});
+                                   .fencingToken = fencingToken(replacement.announced)});
 }
 
 void ReplacementSystem::writeResult(ServiceId id, Replacement &replacement)
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -22,7 +22,7 @@
 struct ServiceRow;
 
 /// Replaces primaries when it is this instance's turn. Steps: announce the replacement in the record (a conditional
-/// write whose revision is the fencing token), wait until every registered instance has released the old primary,
+/// write whose version gives the fencing token), wait until every registered instance has released the old primary,
 /// choose the server that has received most, declare it in the record, have it promoted, wait until it reports that it
 /// is primary, and record the result. Owned by PoolCore; used only within its calls.
 class ReplacementSystem final
@@ -33,6 +33,8 @@
 
     /// Starts replacements that are due; called every check interval.
     void check();
+    /// The store has returned from an older copy: replacements in progress are abandoned.
+    void eraChanged();
     /// Advances the replacements in progress.
     void advance();
     /// Returns true if the outcome belongs to a write of this system.
@@ -58,7 +60,7 @@
         Step step = Step::Announce;
         LeadershipRecord record;
         std::uint64_t expectedRevision = 0; ///< of the record, for the next write
-        std::uint64_t token = 0;            ///< fencing token: revision of the announcement
+        StoreVersion announced;             ///< version of the announcement, from which the fencing token results
         std::uint64_t call = 0;             ///< write or promotion in progress; 0: none
         TimePoint startedAt{0};
         TimePoint announcedAt{0};
--- a/src/pool/feedpublisher.cpp
+++ b/src/pool/feedpublisher.cpp
@@ -41,7 +41,8 @@
     const FeedRequest &known = subscription.request;
     const std::uint64_t version = this->world.routes ? this->world.routes->version() : 0;
     const bool newRoutes = version > known.routeVersion;
-    const bool newMembers = view.revision() > known.memberRevision && view.memberDigest() != known.memberDigest;
+    const StoreVersion knownMembers{.era = known.memberEra, .revision = known.memberRevision};
+    const bool newMembers = view.version() > knownMembers && view.memberDigest() != known.memberDigest;
     // An instance that no longer reaches the store says so at once, so that its subscribers can ask another one.
     const bool outdated = this->world.now - this->registration.verifiedAt() > this->world.options.feedMaxAge;
     const bool holdEnded = this->world.now - subscription.since >= this->world.options.feedHold;
@@ -51,12 +52,13 @@
     FeedUpdate update{.verifiedAfter = this->registration.verifiedAt() - subscription.since,
                       .routeVersion = version,
                       .routes = newRoutes ? this->world.routes : nullptr,
-                      .memberRevision = view.revision()};
+                      .memberRevision = view.revision(),
+                      .memberEra = view.version().era};
     if (newMembers) {
         update.members.emplace();
         for (const auto &[instance, member] : view.members())
             update.members->push_back(FleetObject{.name = FleetView::memberName(instance),
-                                                  .revision = member.revision,
+                                                  .revision = member.version.revision,
                                                   .content = member.record.toText()});
     }
     this->world.counters.add("jujubekeel_pool_feed_answers_total");
--- a/src/pool/feedrequest.cpp
+++ b/src/pool/feedrequest.cpp
@@ -10,6 +10,7 @@
 {
     return nlohmann::json{{"routeVersion", this->routeVersion},
                           {"memberRevision", this->memberRevision},
+                          {"memberEra", this->memberEra},
                           {"memberDigest", this->memberDigest}}
         .dump();
 }
@@ -23,6 +24,7 @@
         const nlohmann::json &root = *parsed;
         return FeedRequest{.routeVersion = root.at("routeVersion").get<std::uint64_t>(),
                            .memberRevision = root.at("memberRevision").get<std::uint64_t>(),
+                           .memberEra = root.value("memberEra", std::uint64_t{0}),
                            .memberDigest = root.at("memberDigest").get<std::uint64_t>()};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
--- a/src/pool/feedrequest.h
+++ b/src/pool/feedrequest.h
@@ -11,7 +11,8 @@
 struct FeedRequest
 {
     std::uint64_t routeVersion = 0;   ///< configuration in force; 0: none
-    std::uint64_t memberRevision = 0; ///< FleetView::memberRevision()
+    std::uint64_t memberRevision = 0; ///< of FleetView::memberVersion()
+    std::uint64_t memberEra = 0;      ///< of FleetView::memberVersion()
     std::uint64_t memberDigest = 0;   ///< FleetView::memberDigest()
 
     /// JSON text without line breaks.
--- a/src/pool/feedsubscriber.cpp
+++ b/src/pool/feedsubscriber.cpp
@@ -86,7 +86,8 @@
     this->source = this->world.servers.at(this->world.links.at(freeLink).server).entry.id;
     const FleetView &view = this->registration.fleet();
     const FeedRequest request{.routeVersion = this->world.routes ? this->world.routes->version() : 0,
-                              .memberRevision = view.memberRevision(),
+                              .memberRevision = view.memberVersion().revision,
+                              .memberEra = view.memberVersion().era,
                               .memberDigest = view.memberDigest()};
     this->links.send(freeLink, ExchangeKind::Subscribe,
                      ServerCommand{.kind = CommandKind::Subscribe, .argument = request.toText()});
@@ -111,8 +112,11 @@
     const TimePoint verified = exchange.sentAt + update->verifiedAfter;
     this->reportedVersion = std::max(this->reportedVersion, update->routeVersion);
     if (update->members)
-        this->callbacks.members(FleetUpdate{
-            .complete = true, .reported = true, .objects = *update->members, .revision = update->memberRevision});
+        this->callbacks.members(FleetUpdate{.complete = true,
+                                            .reported = true,
+                                            .objects = *update->members,
+                                            .revision = update->memberRevision,
+                                            .era = update->memberEra});
     if (update->routes)
         this->callbacks.routes(update->routes);
     if (this->world.now - verified > this->world.options.feedMaxAge) {
--- a/src/pool/feedupdate.cpp
+++ b/src/pool/feedupdate.cpp
@@ -11,7 +11,8 @@
 {
     nlohmann::json root{{"verifiedAfterUs", this->verifiedAfter.count()},
                         {"routeVersion", this->routeVersion},
-                        {"memberRevision", this->memberRevision}};
+                        {"memberRevision", this->memberRevision},
+                        {"memberEra", this->memberEra}};
     if (this->members) {
         auto listed = nlohmann::json::array();
         for (const FleetObject &object : *this->members)
@@ -35,7 +36,8 @@
         const nlohmann::json &root = *parsed;
         FeedUpdate update{.verifiedAfter = Duration(root.at("verifiedAfterUs").get<std::int64_t>()),
                           .routeVersion = root.at("routeVersion").get<std::uint64_t>(),
-                          .memberRevision = root.at("memberRevision").get<std::uint64_t>()};
+                          .memberRevision = root.at("memberRevision").get<std::uint64_t>(),
+                          .memberEra = root.value("memberEra", std::uint64_t{0})};
         if (root.contains("routes"))
             update.routes = routeTableFromJson(root.at("routes"));
         if (!root.contains("members"))
--- a/src/pool/feedupdate.h
+++ b/src/pool/feedupdate.h
@@ -23,6 +23,7 @@
     std::uint64_t routeVersion = 0;           ///< configuration in force at the member; 0: none
     std::shared_ptr<const RouteTable> routes; ///< null: the receiver has this version, or the table is too large
     std::uint64_t memberRevision = 0;
+    std::uint64_t memberEra = 0;
     std::optional<std::vector<FleetObject>> members; ///< all members, if they differ from those of the receiver
 
     /// JSON text without line breaks. Leaves out the routes if it would be longer than \a limit bytes.
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -170,7 +170,10 @@
 void PoolCore::fleetUpdated(TimePoint now, const FleetUpdate &update)
 {
     this->world.now = now;
+    const std::uint64_t era = this->registration.fleet().version().era;
     this->registration.fleetUpdated(update);
+    if (this->registration.fleet().version().era != era)
+        this->replacement.eraChanged();
     this->leadership.fleetUpdated();
     this->fleetChanged();
     this->links.closeSurplus();
