Fencing tokens rise also after the store has returned from an older copy

The token was the revision of the announcement, which a restored store gives out again: a promotion could carry a token below one that was used before, and a platform that checks fences would have refused it, another one would have let two holders act. The token now holds the era above 40 bits of revision.

--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -22,7 +22,7 @@
 /// Rises with each announcement also when the store has returned from an older copy and gives out revisions again.
 std::uint64_t fencingToken(StoreVersion announced)
 {
-    return announced.revision;
+    return (announced.era << revisionBits) + announced.revision;
 }
 
 bool hasReleased(const FleetView::Member &member, const ServiceRow &service, std::uint64_t epoch)
--- a/tests/pool/restoredstoretest.cpp
+++ b/tests/pool/restoredstoretest.cpp
@@ -65,6 +65,26 @@
     expectIncreasingTokens(run.pool);
 }
 
+// Guards against a fencing token that is lower than, or equal to, that of an earlier promotion, because the restored store
+// gives out revisions again.
+TEST(RestoredStore, FencingTokensRise)
+{
+    LoadedPool run;
+    run.pool.run(seconds(1));
+    run.pool.store().takeCopy();
+    for (int change = 0; change < 100; ++change)
+        static_cast<void>(run.pool.store().write({.name = "other" + std::to_string(change), .content = "{}"}));
+    run.pool.stopServer(0);
+    run.pool.run(seconds(2));
+    restoreStore(run.pool);
+    run.pool.startServer(0);
+    run.pool.run(seconds(4));
+    run.pool.stopServer(run.pool.group().isPrimary(1) ? 1 : 2);
+    run.finish();
+    EXPECT_EQ(run.pool.promotions(), 2U);
+    expectIncreasingTokens(run.pool);
+}
+
 // Guards against a restored store interrupting work although no primary has failed.
 TEST(RestoredStore, NoWorkIsInterruptedWithoutAFailure)
 {
