Leadership records that a restored store has lost are written again

Callers saw: an instance that started on the restored store acknowledged commits of a replaced primary for 5 s (virtual time); a replacement that the outage interrupted never finished; a primary was replaced while a member that was not in the copy still used it for 3.6 s on its lease of before. Cause: the store was the only witness of a replacement and of a registration. What instances remember of them was overwritten by the copy. Change: FleetView remembers records and registrations of the era before. RecoverySystem writes lost records again, in turns; until recoveryWait has passed no view counts as verified and no replacement starts. Replacements wait for registrations of before until their leases have expired; an instance without memory of the era before waits for that time in any case. A marker object states that an era is recovered, so that later starts wait for nothing; at the first start of a fleet it is written at once. An instance that learns of an era after its recovery adopts the store's records.

--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -1,5 +1,9 @@
 #include "leadership/fleetview.h"
 
+#include "catalog/boundedjson.h"
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <set>
 
@@ -17,6 +21,11 @@
     return std::string(recordPrefix) + std::string(service);
 }
 
+std::string FleetView::recoveryText(std::uint64_t era)
+{
+    return nlohmann::json{{"era", era}}.dump();
+}
+
 std::string FleetView::memberName(std::string_view instance)
 {
     return std::string(memberPrefix) + std::string(instance);
@@ -31,11 +40,17 @@
     const bool continues = update.complete || version.era == this->knownVersion.era || this->revision() == 0;
     if (version < this->knownVersion || !continues)
         return false;
+    if (version.era != this->knownVersion.era || this->revision() == 0)
+        this->enterEra(update, now);
+    this->knownVersion = version;
+    for (const FleetObject &object : update.objects)
+        this->applyMarker(object);
     if (update.complete)
         this->removeMissing(update);
+    else if (this->isEraRecovered())
+        std::erase_if(this->memberRows, [&](const auto &row) { return row.second.version.era < version.era; });
     for (const FleetObject &object : update.objects)
         this->applyObject(object, version.era, now);
-    this->knownVersion = version;
     return true;
 }
 
@@ -85,13 +100,54 @@
     return digest;
 }
 
+void FleetView::enterEra(const FleetUpdate &update, TimePoint now)
+{
+    this->hasEarlierEra = this->revision() != 0;
+    this->eraFirstSeen = now;
+    this->recoveredEra = 0;
+    this->markerRevision = 0;
+    for (const FleetObject &object : update.objects)
+        this->applyMarker(object);
+    // An instance that learns of the era only after its recovery adopts what the fleet has agreed on since.
+    if (this->recoveredEra == update.era) {
+        this->recordRows.clear();
+        this->memberRows.clear();
+    }
+}
+
+void FleetView::applyMarker(const FleetObject &object)
+{
+    if (object.name != recoveryName || object.revision <= this->markerRevision)
+        return;
+    const auto parsed = parseBoundedJson(object.content);
+    const bool valid =
+        parsed && parsed->is_object() && parsed->contains("era") && parsed->at("era").is_number_unsigned();
+    this->recoveredEra = valid && !object.deleted ? parsed->at("era").get<std::uint64_t>() : 0;
+    this->markerRevision = object.deleted ? 0 : object.revision;
+}
+
+bool FleetView::isEraRecovered() const
+{
+    return this->recoveredEra == this->knownVersion.era;
+}
+
 void FleetView::removeMissing(const FleetUpdate &update)
 {
     std::set<std::string, std::less<>> present;
     for (const FleetObject &object : update.objects)
         present.insert(object.name);
-    std::erase_if(this->recordRows, [&](const auto &row) { return !present.contains(recordName(row.first)); });
-    std::erase_if(this->memberRows, [&](const auto &row) { return !present.contains(memberName(row.first)); });
+    const std::uint64_t era = this->knownVersion.era;
+    for (auto &[service, row] : this->recordRows) {
+        row.lost = row.lost || row.version.era != era;
+        if (row.lost && !present.contains(recordName(service)))
+            row.version = {.era = era, .revision = 0};
+    }
+    std::erase_if(this->recordRows,
+                  [&](const auto &row) { return !row.second.lost && !present.contains(recordName(row.first)); });
+    std::erase_if(this->memberRows, [&](const auto &row) {
+        const bool remembered = row.second.version.era != era && !this->isEraRecovered();
+        return !remembered && !present.contains(memberName(row.first));
+    });
 }
 
 void FleetView::applyObject(const FleetObject &object, std::uint64_t era, TimePoint now)
@@ -103,8 +159,8 @@
         auto record = LeadershipRecord::fromText(object.content);
         if (object.deleted)
             this->recordRows.erase(service);
-        else if (record && this->recordRows[service].version < version)
-            this->recordRows[service] = Record{.record = *record, .version = version, .seenAt = now};
+        else if (record)
+            this->applyRecord(service, *record, version, now);
     } else if (name.starts_with(memberPrefix)) {
         const std::string instance(name.substr(memberPrefix.size()));
         auto record = MemberRecord::fromText(object.content);
@@ -115,6 +171,18 @@
     }
 }
 
+void FleetView::applyRecord(const std::string &service, const LeadershipRecord &record, StoreVersion version,
+                            TimePoint now)
+{
+    Record &row = this->recordRows[service];
+    if (row.version >= version)
+        return;
+    row.version = version;
+    if (row.lost && row.record.isLaterThan(record))
+        return;
+    row = Record{.record = record, .version = version, .seenAt = now};
+}
+
 const FleetView::Record *FleetView::record(std::string_view service) const
 {
     const auto found = this->recordRows.find(service);
--- a/src/leadership/fleetview.h
+++ b/src/leadership/fleetview.h
@@ -13,8 +13,11 @@
 namespace Jujubekeel {
 
 /// Local copy of the fleet's objects in the store. Of two versions of an object the higher one is kept. Versions are
-/// ordered by era and revision, because a store that returns from an older copy gives out revisions again. Owned by
-/// RegistrationSystem.
+/// ordered by era and revision, because a store that returns from an older copy gives out revisions again.
+///
+/// Such a store may have lost records and registrations. The view remembers those of the era before until the new one
+/// counts as recovered, which a marker object in the store states: lost records have then been written again, and the
+/// authority leases of the era before have expired. Owned by RegistrationSystem.
 class FleetView final
 {
 public:
@@ -24,6 +27,7 @@
         LeadershipRecord record;
         StoreVersion version;
         TimePoint seenAt{0}; ///< arrival of this version at this instance
+        bool lost = false;   ///< the store holds an earlier record or, at revision 0, none
     };
     /// Registration of one instance.
     struct Member
@@ -36,6 +40,9 @@
     /// Name of the stored object.
     [[nodiscard]] static std::string recordName(std::string_view service);
     [[nodiscard]] static std::string memberName(std::string_view instance);
+    /// Name and content of the object that marks an era as recovered.
+    static constexpr std::string_view recoveryName = "recovery";
+    [[nodiscard]] static std::string recoveryText(std::uint64_t era);
 
     /// Ignores objects that cannot be read. Returns false if the update is older than the view and was ignored.
     bool apply(const FleetUpdate &update, TimePoint now);
@@ -47,6 +54,14 @@
     /// Version of the store that the view reflects; revision 0: nothing has been read yet.
     [[nodiscard]] StoreVersion version() const { return this->knownVersion; }
     [[nodiscard]] std::uint64_t revision() const { return this->knownVersion.revision; }
+    /// When this instance first read the store in the present era.
+    [[nodiscard]] TimePoint eraSeenAt() const { return this->eraFirstSeen; }
+    /// Always true for a store without eras.
+    [[nodiscard]] bool isEraRecovered() const;
+    /// True if this instance read the store in the era before, so that its view contains what the copy may lack.
+    [[nodiscard]] bool remembersEarlierEra() const { return this->hasEarlierEra; }
+    /// Revision of the marker object; 0: there is none.
+    [[nodiscard]] std::uint64_t recoveryRevision() const { return this->markerRevision; }
     /// The registration of an instance, if it was written in the present era of the store.
     [[nodiscard]] const Member *currentMember(std::string_view instance) const;
     /// Version of the store that the members in the view reflect, which may have been reported by another instance.
@@ -61,11 +76,18 @@
     void applyObject(const FleetObject &object, std::uint64_t era, TimePoint now);
     bool applyReported(const FleetUpdate &update, TimePoint now);
     void removeMissing(const FleetUpdate &update);
+    void enterEra(const FleetUpdate &update, TimePoint now);
+    void applyMarker(const FleetObject &object);
+    void applyRecord(const std::string &service, const LeadershipRecord &record, StoreVersion version, TimePoint now);
 
     std::map<std::string, Record, std::less<>> recordRows; ///< by service
     std::map<std::string, Member, std::less<>> memberRows; ///< by instance
     StoreVersion knownVersion;
     StoreVersion reportedVersion; ///< of the last report of a member
+    TimePoint eraFirstSeen{0};
+    bool hasEarlierEra = false;
+    std::uint64_t recoveredEra = 0; ///< that the marker object names
+    std::uint64_t markerRevision = 0;
 };
 
 } // namespace Jujubekeel
--- a/src/leadership/leadershipoptions.h
+++ b/src/leadership/leadershipoptions.h
@@ -40,6 +40,11 @@
     Duration registrationSlotInterval = std::chrono::milliseconds(12);
     /// A member that has been unreachable for this long no longer counts towards the limit of members.
     Duration memberTimeout = std::chrono::seconds(8);
+    /// After the store has returned from an older copy: time in which the instances that know more write it again, before
+    /// leadership counts as verified. With the outage shorter than the authority lease, so that work is not interrupted.
+    Duration recoveryWait = std::chrono::milliseconds(1500);
+    Duration recoveryTurn = std::chrono::milliseconds(100); ///< between two members that write lost records again
+    std::uint32_t recoveryTurns = 6;                        ///< later members write in the last turn
     /// Maximum age of the verified fleet view for starting a replacement and for requesting a promotion.
     Duration maxFleetViewAge = std::chrono::milliseconds(2500);
 };
--- a/src/leadership/leadershiprecord.cpp
+++ b/src/leadership/leadershiprecord.cpp
@@ -4,8 +4,18 @@
 
 #include <nlohmann/json.hpp>
 
+#include <tuple>
+
 namespace Jujubekeel {
 
+bool LeadershipRecord::isLaterThan(const LeadershipRecord &other) const
+{
+    const auto progress = [](const LeadershipRecord &record) {
+        return std::tuple(record.epoch, !record.changing, !record.candidate.empty());
+    };
+    return progress(*this) > progress(other);
+}
+
 std::string LeadershipRecord::toText() const
 {
     return nlohmann::json{{"epoch", this->epoch},         {"term", this->term},          {"primary", this->primary},
--- a/src/leadership/leadershiprecord.h
+++ b/src/leadership/leadershiprecord.h
@@ -20,6 +20,9 @@
     std::uint64_t termAbove = 0; ///< the candidate has taken over once it is primary of a term above this one
     std::string holder;          ///< instance that is replacing or last replaced the primary
 
+    /// True if this record is a later state of the service's leadership than \a other. Both must belong to one history of
+    /// the store, in which a record passes from announced to declared to finished within an epoch.
+    [[nodiscard]] bool isLaterThan(const LeadershipRecord &other) const;
     [[nodiscard]] std::string toText() const;
     [[nodiscard]] static std::optional<LeadershipRecord> fromText(std::string_view text);
 };
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -32,6 +32,12 @@
     this->registration.publish();
 }
 
+void LeadershipSystem::eraChanged()
+{
+    // Entries of the copy may show a candidate as the primary that it was before.
+    this->world.services.forEach([](ServiceId, ServiceRow &service) { service.candidates.clear(); });
+}
+
 void LeadershipSystem::scheduleCheck()
 {
     this->nextCheck = this->world.now + this->options.checkInterval;
@@ -49,6 +55,9 @@
         return;
     ServiceRow &service = this->world.services.at(id);
     const FleetView::Record *known = this->registration.fleet().record(service.name);
+    // Epochs decrease only if this instance learned of a restored store after its recovery.
+    if (service.epoch > (known == nullptr ? 0 : known->record.epoch))
+        this->discardLeadership(id);
     if (known != nullptr)
         this->adoptRecord(id, *known);
     else
@@ -106,6 +115,15 @@
     this->setPrimary(id, record.primary, record.epoch, record.term);
 }
 
+void LeadershipSystem::discardLeadership(ServiceId id)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    this->world.log(
+        LogLevel::Warning, "leadership-discarded",
+        {{"service", service.name}, {"primary", service.primaryId}, {"epoch", std::to_string(service.epoch)}});
+    this->setPrimary(id, {}, 0, 0);
+}
+
 void LeadershipSystem::adoptCandidate(ServiceId id)
 {
     // The holder may be unable to record the result. If the declared candidate was a replica at the announcement and
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -33,6 +33,8 @@
     void start();
     /// The fleet view of RegistrationSystem has been updated.
     void fleetUpdated();
+    /// The store has returned from an older copy.
+    void eraChanged();
     /// Directory entries have changed, so primaries may have appeared or disappeared.
     void serversChanged();
     /// Checks all primaries; called every check interval.
@@ -54,6 +56,8 @@
     void adoptRecord(ServiceId service, const FleetView::Record &stored);
     void adoptReportedPrimary(ServiceId service);
     void adoptCandidate(ServiceId service);
+    /// Discards a leadership that the store no longer knows, after it returned from an older copy and was recovered.
+    void discardLeadership(ServiceId service);
     void setPrimary(ServiceId service, const std::string &server, std::uint64_t epoch, std::uint64_t term);
     /// Releases a primary that is being replaced, unless a planned replacement lets running work finish.
     void releaseIfIdle(ServiceId service);
--- /dev/null
+++ b/src/leadership/recoverysystem.cpp
@@ -0,0 +1,73 @@
+#include "leadership/recoverysystem.h"
+
+#include "leadership/registrationsystem.h"
+#include "pool/poolworld.h"
+
+#include <algorithm>
+
+namespace Jujubekeel {
+
+void RecoverySystem::check()
+{
+    const FleetView &view = this->registration.fleet();
+    if (view.revision() == 0 || this->world.role != FleetRole::Member || this->world.now < this->retryAt)
+        return;
+    if (this->world.now - view.eraSeenAt() < this->turn())
+        return;
+    for (const auto &[service, row] : view.records()) {
+        if (!row.lost)
+            continue;
+        this->write(FleetView::recordName(service), row.version.revision, row.record.toText());
+    }
+    if (this->isMarkerDue())
+        this->write(std::string(FleetView::recoveryName), view.recoveryRevision(),
+                    FleetView::recoveryText(view.version().era));
+}
+
+bool RecoverySystem::isMarkerDue() const
+{
+    const FleetView &view = this->registration.fleet();
+    if (view.isEraRecovered() || !this->registration.isRegistered())
+        return false;
+    // At the first start of the fleet there is nothing to recover.
+    if (this->registration.isEraRecovered())
+        return true;
+    const bool recordsLost =
+        std::any_of(view.records().begin(), view.records().end(), [](const auto &row) { return row.second.lost; });
+    return !recordsLost && this->world.now - view.eraSeenAt() >= this->registration.leaseExpiryTime() + this->turn();
+}
+
+Duration RecoverySystem::turn() const
+{
+    std::uint32_t before = 0;
+    for (const auto &[instance, member] : this->registration.fleet().members()) {
+        if (instance < this->world.options.instance && !member.record.isEvicted())
+            before += 1;
+    }
+    return this->options.recoveryTurn * std::min(before, this->options.recoveryTurns);
+}
+
+void RecoverySystem::write(const std::string &name, std::uint64_t expectedRevision, const std::string &content)
+{
+    if (this->calls.contains(name))
+        return;
+    const std::uint64_t call = this->world.takeCall();
+    this->calls.emplace(name, call);
+    this->world.log(LogLevel::Info, "recovery-write",
+                    {{"object", name},
+                     {"era", std::to_string(this->registration.fleet().version().era)},
+                     {"expectedRevision", std::to_string(expectedRevision)}});
+    this->world.emit(
+        WriteFleetObject{.call = call, .name = name, .expectedRevision = expectedRevision, .content = content});
+}
+
+bool RecoverySystem::writeFinished(const WriteOutcome &outcome)
+{
+    const bool own = std::erase_if(this->calls, [&](const auto &entry) { return entry.second == outcome.call; }) > 0;
+    // Also after a success, until the watch shows it.
+    if (own)
+        this->retryAt = this->world.now + this->options.writeRetryDelay;
+    return own;
+}
+
+} // namespace Jujubekeel
--- /dev/null
+++ b/src/leadership/recoverysystem.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "leadership/fleetmessages.h"
+#include "leadership/leadershipoptions.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Jujubekeel {
+
+class RegistrationSystem;
+struct PoolWorld;
+
+/// Restores what the store has lost after it returned from an older copy: writes leadership records again that this
+/// member still knows, and marks the era as recovered when the authority leases of the era before have expired. The
+/// members take turns, so that usually only the first one writes. Owned by PoolCore; used only within its calls.
+class RecoverySystem final
+{
+public:
+    RecoverySystem(PoolWorld &poolWorld, const RegistrationSystem &registrationSystem,
+                   LeadershipOptions leadershipOptions)
+        : world(poolWorld), registration(registrationSystem), options(leadershipOptions)
+    {
+    }
+
+    /// Writes what is due; called every check interval.
+    void check();
+    /// The store has returned from an older copy: the results of writes in progress have no meaning.
+    void eraChanged() { this->calls.clear(); }
+    /// Returns true if the outcome belongs to a write of this system.
+    bool writeFinished(const WriteOutcome &outcome);
+
+private:
+    [[nodiscard]] bool isMarkerDue() const;
+    /// Delay of this member's turn.
+    [[nodiscard]] Duration turn() const;
+    /// Writes an object unless a write of it is in progress.
+    void write(const std::string &name, std::uint64_t expectedRevision, const std::string &content);
+
+    PoolWorld &world;
+    const RegistrationSystem &registration;
+    LeadershipOptions options;
+    std::map<std::string, std::uint64_t> calls; ///< writes in progress, by object name
+    TimePoint retryAt{0};                       ///< no write before, after a failed one
+};
+
+} // namespace Jujubekeel
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -113,6 +113,8 @@
         this->desired.renewals += 1;
         return;
     }
+    if (!this->isEraRecovered() && requestedAt < this->recoveryEnd())
+        return;
     this->world.fleetVerifiedAt = std::max(this->world.fleetVerifiedAt, requestedAt);
     this->updateServing();
 }
@@ -274,6 +276,30 @@
            && this->world.now - this->world.fleetVerifiedAt <= this->options.maxFleetViewAge;
 }
 
+bool RegistrationSystem::isEraRecovered() const
+{
+    return this->view.isEraRecovered() || (this->world.options.firstStart && !this->view.remembersEarlierEra());
+}
+
+bool RegistrationSystem::isRecovering() const
+{
+    return !this->isEraRecovered() && this->world.now < this->recoveryEnd();
+}
+
+bool RegistrationSystem::awaitsVerification() const
+{
+    if (!this->registered)
+        return this->writeCall != 0 && !this->unregistering;
+    if (this->isRecovering())
+        return false;
+    return this->verifiedAt().count() == 0 || (!this->isEraRecovered() && this->verifiedAt() < this->recoveryEnd());
+}
+
+Duration RegistrationSystem::leaseExpiryTime() const
+{
+    return this->world.options.authorityLease + this->options.leaseMargin;
+}
+
 void RegistrationSystem::setView(const std::string &service, std::optional<PrimaryView> primaryView)
 {
     if (primaryView)
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -52,10 +52,7 @@
     [[nodiscard]] bool isUnregistered() const { return this->unregistered; }
     /// True while this instance is registered, or its registration is being written, and its view has not been
     /// verified.
-    [[nodiscard]] bool awaitsVerification() const
-    {
-        return this->registered ? this->verifiedAt().count() == 0 : this->writeCall != 0 && !this->unregistering;
-    }
+    [[nodiscard]] bool awaitsVerification() const;
     /// True if there is a vacancy for a member and this instance waits for its time slot to register.
     [[nodiscard]] bool awaitsVacancy() const { return this->vacancyFound; }
     /// True if that time slot has come. The members must then be read from the store once more, as the registration of
@@ -65,10 +62,22 @@
     [[nodiscard]] TimePoint verifiedAt() const;
     /// True if verifiedAt() is recent enough to replace a primary (LeadershipOptions::maxFleetViewAge).
     [[nodiscard]] bool isFleetViewCurrent() const;
+    /// The view reflects the store at this time or later; 0: not read yet.
+    [[nodiscard]] TimePoint viewReadAt() const { return this->readAt; }
+    /// False after the store has returned from an older copy, until what it has lost was written again and the
+    /// authority leases of before have expired.
+    [[nodiscard]] bool isEraRecovered() const;
+    /// True while other instances may still have to write again what the store has lost: no view of it is verified, and
+    /// no replacement starts.
+    [[nodiscard]] bool isRecovering() const;
+    /// Time after which an instance accepts no results on its old fleet view any more.
+    [[nodiscard]] Duration leaseExpiryTime() const;
 
 private:
     /// The store has returned from an older copy: registers again.
     void eraChanged(std::uint64_t earlier);
+    /// Leadership counts as verified from this time on.
+    [[nodiscard]] TimePoint recoveryEnd() const { return this->view.eraSeenAt() + this->options.recoveryWait; }
     /// Counts an update requested at \a requestedAt as a verification; ends the registration if the authority lease has
     /// expired.
     void acceptVerification(TimePoint requestedAt);
@@ -100,7 +109,7 @@
     TimePoint writeAgainAt{0}; ///< no write before, after a failed one
     bool vacancyFound = false; ///< see awaitsVacancy()
     TimePoint vacancySince{0};
-    TimePoint readAt{0}; ///< the view reflects the store at this time or later; 0: not read yet
+    TimePoint readAt{0}; ///< see viewReadAt()
 };
 
 } // namespace Jujubekeel
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -42,12 +42,17 @@
 
 void ReplacementSystem::check()
 {
+    if (this->registration.isRecovering())
+        return;
     std::vector<std::pair<ServiceId, bool>> due;
     std::vector<ServiceId> unfinished;
     this->world.services.forEach([&](ServiceId id, ServiceRow &service) {
         if (this->replacements.contains(id))
             return;
         const FleetView::Record *known = this->registration.fleet().record(service.name);
+        // The announcement would be conditional on a record that is about to be written again.
+        if (known != nullptr && known->lost)
+            return;
         const bool own = known != nullptr && known->record.holder == this->world.options.instance;
         bool planned = false;
         const bool hasCandidate = service.servers.size() > (service.primary.isValid() ? 1 : 0);
@@ -269,21 +274,23 @@
     return true;
 }
 
-Duration ReplacementSystem::leaseExpiryTime() const
-{
-    return this->world.options.authorityLease + this->options.leaseMargin;
-}
-
 bool ReplacementSystem::allReleased(const ServiceRow &service, const Replacement &replacement) const
 {
     // An instance whose authority lease has expired accepts no results of the old primary any more.
-    const Duration expiry = this->leaseExpiryTime();
+    const Duration expiry = this->registration.leaseExpiryTime();
     if (this->world.now - replacement.announcedAt >= expiry)
         return true;
-    const auto &members = this->registration.fleet().members();
+    const FleetView &fleet = this->registration.fleet();
+    const bool earlierLeasesExpired = this->world.now - fleet.eraSeenAt() >= expiry;
+    // The store may have lost registrations that this instance has never read.
+    if (!this->registration.isEraRecovered() && !fleet.remembersEarlierEra() && !earlierLeasesExpired)
+        return false;
+    const auto &members = fleet.members();
     return std::all_of(members.begin(), members.end(), [&](const auto &entry) {
         if (entry.first == this->world.options.instance)
             return service.released;
+        if (entry.second.version.era != fleet.version().era && earlierLeasesExpired)
+            return true;
         // An evicted instance may act on its old fleet view until its authority lease expires.
         if (entry.second.record.isEvicted())
             return this->world.now - entry.second.seenAt >= expiry;
@@ -293,10 +300,13 @@
 
 void ReplacementSystem::evictSilentMembers(const ServiceRow &service, const Replacement &replacement)
 {
-    const Duration expiry = this->leaseExpiryTime();
+    const Duration expiry = this->registration.leaseExpiryTime();
     for (const auto &[instance, member] : this->registration.fleet().members()) {
         if (instance == this->world.options.instance || hasReleased(member, service, replacement.record.epoch))
             continue;
+        // A registration that the store has lost cannot be evicted.
+        if (member.version.era != this->registration.fleet().version().era)
+            continue;
         const bool evicted = member.record.isEvicted();
         if (evicted && this->world.now - member.seenAt < expiry)
             continue;
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -77,8 +77,6 @@
     /// Returns false if the replacement has ended.
     bool advanceOne(ServiceId service, Replacement &replacement);
     [[nodiscard]] bool isSuperseded(const ServiceRow &service, const Replacement &replacement) const;
-    /// Time after which an instance accepts no results on its old fleet view any more.
-    [[nodiscard]] Duration leaseExpiryTime() const;
     [[nodiscard]] bool allReleased(const ServiceRow &service, const Replacement &replacement) const;
     /// Evicts members that did not release the old primary, so that later replacements need not wait for them.
     void evictSilentMembers(const ServiceRow &service, const Replacement &replacement);
--- a/src/pool/feedpublisher.cpp
+++ b/src/pool/feedpublisher.cpp
@@ -32,8 +32,8 @@
 
 bool FeedPublisher::answer(const Subscription &subscription)
 {
-    // Without a registration the view is not kept up to date.
-    if (!this->registration.isRegistered() || this->registration.verifiedAt().count() == 0) {
+    // Before the first verification, and after a lapse, the view may not be kept up to date.
+    if (this->registration.verifiedAt().count() == 0) {
         this->refuse(subscription.session, "this instance is not a member at present");
         return true;
     }
@@ -44,12 +44,12 @@
     const StoreVersion knownMembers{.era = known.memberEra, .revision = known.memberRevision};
     const bool newMembers = view.version() > knownMembers && view.memberDigest() != known.memberDigest;
     // An instance that no longer reaches the store says so at once, so that its subscribers can ask another one.
-    const bool outdated = this->world.now - this->registration.verifiedAt() > this->world.options.feedMaxAge;
+    const bool outdated = this->world.now - this->registration.viewReadAt() > this->world.options.feedMaxAge;
     const bool holdEnded = this->world.now - subscription.since >= this->world.options.feedHold;
     if (!newRoutes && !newMembers && !outdated && !holdEnded)
         return false;
 
-    FeedUpdate update{.verifiedAfter = this->registration.verifiedAt() - subscription.since,
+    FeedUpdate update{.verifiedAfter = this->registration.viewReadAt() - subscription.since,
                       .routeVersion = version,
                       .routes = newRoutes ? this->world.routes : nullptr,
                       .memberRevision = view.revision(),
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -20,7 +20,7 @@
       directory(this->world, this->links, this->dispatch, this->results), registration(this->world, leadershipOptions),
       leadership(this->world, this->dispatch, this->results, this->registration, leadershipOptions),
       replacement(this->world, this->links, this->leadership, this->registration, leadershipOptions),
-      relay(this->world, this->links, this->results),
+      recovery(this->world, this->registration, leadershipOptions), relay(this->world, this->links, this->results),
       feedSubscriber(
           this->world, this->links, this->dispatch, this->registration,
           {.routes = [this](std::shared_ptr<const RouteTable> routes) { this->applyRoutes(std::move(routes)); },
@@ -173,7 +173,7 @@
     const std::uint64_t era = this->registration.fleet().version().era;
     this->registration.fleetUpdated(update);
     if (this->registration.fleet().version().era != era)
-        this->replacement.eraChanged();
+        this->eraChanged();
     this->leadership.fleetUpdated();
     this->fleetChanged();
     this->links.closeSurplus();
@@ -181,6 +181,13 @@
     this->feedPublisher.publish();
 }
 
+void PoolCore::eraChanged()
+{
+    this->leadership.eraChanged();
+    this->replacement.eraChanged();
+    this->recovery.eraChanged();
+}
+
 void PoolCore::membersReported(const FleetUpdate &update)
 {
     this->registration.membersReported(update);
@@ -201,7 +208,7 @@
 void PoolCore::writeFinished(TimePoint now, const WriteOutcome &outcome)
 {
     this->world.now = now;
-    if (!this->registration.writeFinished(outcome))
+    if (!this->registration.writeFinished(outcome) && !this->recovery.writeFinished(outcome))
         this->replacement.writeFinished(outcome);
     this->fleetChanged();
 }
@@ -258,6 +265,7 @@
     case TimerKind::Leadership:
         this->leadership.check();
         this->replacement.check();
+        this->recovery.check();
         return;
     case TimerKind::Vacancy:
         this->updateRole();
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -2,6 +2,7 @@
 
 #include "leadership/leadershipoptions.h"
 #include "leadership/leadershipsystem.h"
+#include "leadership/recoverysystem.h"
 #include "leadership/registrationsystem.h"
 #include "leadership/replacementsystem.h"
 #include "pool/directorysystem.h"
@@ -107,6 +108,8 @@
     void updateRole();
     /// The members of the fleet or this instance's role may have changed.
     void fleetChanged();
+    /// The store has returned from an older copy.
+    void eraChanged();
     void membersReported(const FleetUpdate &update);
     void applyRoutes(std::shared_ptr<const RouteTable> routes);
 
@@ -120,6 +123,7 @@
     RegistrationSystem registration;
     LeadershipSystem leadership;
     ReplacementSystem replacement;
+    RecoverySystem recovery;
     RelaySystem relay;
     FeedSubscriber feedSubscriber;
     TimePoint startedAt{0};
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -16,6 +16,8 @@
     std::string region;
     std::map<std::string, std::string, std::less<>> regionOf; ///< by failure domain
 
+    bool firstStart = false; ///< the fleet starts for the first time: there is nothing that the store could have lost
+
     std::uint32_t expectedInstances = 6; ///< a server's connections are divided by this many at least
     std::uint32_t linksPerServer = 3;    ///< connections of this instance to one backend server, at most
     std::uint32_t spareConnections = 2;  ///< of each server; left for restarts and for control commands
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -50,6 +50,7 @@
     pool.instance = "i" + std::to_string(instance);
     pool.failureDomain = this->options.group.domains.at(instance % this->options.group.domains.size());
     pool.expectedInstances = this->options.instances;
+    pool.firstStart = node.boot == 0;
     if (this->options.relays) {
         pool.relayAddress = RelayConnections::address(instance);
         for (const std::string &domain : this->options.group.domains)
