A primary whose promotion the store has forgotten is found by the servers' reports

Callers saw: after all instances that knew of a replacement had been killed while the store returned from an older copy, a service had no usable primary: the record names a server that is a replica by now, answers, and so is never replaced. Change: an instance without memory of the era before holds a record for contradicted if the named primary reports to be a replica and another server to be primary. It verifies no leadership of it and has it replaced; a primary of a term above the recorded one is chosen, so that no commit is rolled back. The announcement takes the term of the primary that the instance knows. Ruled out: to take the primary of the highest term among all answers in any replacement.

--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -72,7 +72,8 @@
         service.missingSince = TimePoint{0};
     else if (service.missingSince.count() == 0)
         service.missingSince = this->world.now;
-    if (!service.changing && this->registration.verifiedAt() > service.leadershipVerifiedAt) {
+    if (!service.changing && this->registration.verifiedAt() > service.leadershipVerifiedAt
+        && !this->isContradicted(service)) {
         service.leadershipVerifiedAt = this->registration.verifiedAt();
         this->results.reviewWithheld(id);
     }
@@ -228,8 +229,22 @@
     this->registration.publish();
 }
 
+bool LeadershipSystem::isContradicted(const ServiceRow &service) const
+{
+    // Otherwise an entry is just older than the record.
+    if (this->registration.isEraRecovered() || this->registration.fleet().remembersEarlierEra())
+        return false;
+    const ServerRow *primary = this->world.servers.find(service.primary);
+    if (primary == nullptr || primary->entry.claimsPrimary)
+        return false;
+    return std::any_of(service.servers.begin(), service.servers.end(),
+                       [&](ServerId server) { return this->world.servers.at(server).entry.claimsPrimary; });
+}
+
 bool LeadershipSystem::isUnreachable(const ServiceRow &service) const
 {
+    if (this->isContradicted(service))
+        return true;
     const ServerRow *primary = this->world.servers.find(service.primary);
     const TimePoint now = this->world.now;
     if (primary == nullptr)
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -281,6 +281,12 @@
     return this->view.isEraRecovered() || (this->world.options.firstStart && !this->view.remembersEarlierEra());
 }
 
+TimePoint RegistrationSystem::recoveryEnd() const
+{
+    return this->view.eraSeenAt()
+           + (this->view.remembersEarlierEra() ? this->options.recoveryWait : this->options.unawareRecoveryWait);
+}
+
 bool RegistrationSystem::isRecovering() const
 {
     return !this->isEraRecovered() && this->world.now < this->recoveryEnd();
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -77,7 +77,7 @@
     /// The store has returned from an older copy: registers again.
     void eraChanged(std::uint64_t earlier);
     /// Leadership counts as verified from this time on.
-    [[nodiscard]] TimePoint recoveryEnd() const { return this->view.eraSeenAt() + this->options.recoveryWait; }
+    [[nodiscard]] TimePoint recoveryEnd() const;
     /// Counts an update requested at \a requestedAt as a verification; ends the registration if the authority lease has
     /// expired.
     void acceptVerification(TimePoint requestedAt);
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -91,7 +91,7 @@
     Replacement replacement{.startedAt = this->world.now, .stepAt = this->world.now};
     replacement.expectedRevision = known == nullptr ? 0 : known->version.revision;
     replacement.record = LeadershipRecord{.epoch = (known == nullptr ? 0 : known->record.epoch) + 1,
-                                          .term = known == nullptr ? 0 : known->record.term,
+                                          .term = std::max(service.term, known == nullptr ? 0 : known->record.term),
                                           .primary = service.primaryId,
                                           .changing = true,
                                           .planned = planned,
@@ -401,7 +401,9 @@
             return false;
         }
     }
-    if (!this->hasTakenOver(replacement, best)) {
+    if (this->hasTakenOver(replacement, best)) {
+        replacement.record.termAbove = replacement.statuses.at(best).term - 1;
+    } else {
         replacement.record.termAbove = replacement.record.term;
         for (const auto &[server, status] : replacement.statuses)
             replacement.record.termAbove = std::max(replacement.record.termAbove, status.term);
@@ -425,9 +427,16 @@
 
 bool ReplacementSystem::hasTakenOver(const Replacement &replacement, const std::string &server) const
 {
-    // Promoted by an earlier holder that did not record the result.
     const ReplicationStatus &status = replacement.statuses.at(server);
-    return server == replacement.record.candidate && status.isPrimary && status.term > replacement.record.termAbove;
+    if (!status.isPrimary || server == replacement.record.primary)
+        return false;
+    // Promoted by an earlier holder that did not record the result.
+    if (server == replacement.record.candidate)
+        return status.term > replacement.record.termAbove;
+    // Promoted by a replacement whose record the store has lost. Without the term of the recorded primary, a primary of
+    // before could be mistaken for it.
+    const bool mayBeLost = !this->registration.isEraRecovered() && !this->registration.fleet().remembersEarlierEra();
+    return mayBeLost && replacement.record.term != 0 && status.term > replacement.record.term;
 }
 
 std::string ReplacementSystem::bestCandidate(const Replacement &replacement,
