A resumed replacement does not wait for its own holder

Cause: after the store's return the holder first saw the candidate's entry and used it as primary, so it no longer counted as having released the old one; its resumed replacement waited for itself, up to the length of a lease, and the next restoration began the wait anew. The others ignored the entry for good. Change: a holder that uses a successor has released the old primary. Entries count again for adopting a candidate when the servers have had time to write them. The marker of a recovered era is written by members with a current view only, and retried seldom: each of them had tried six times a second during an outage. Evidence: MemberProtocol.ResumedReplacementDoesNotWaitForItsHolder failed before and passes now.

--- a/src/leadership/leadershipoptions.h
+++ b/src/leadership/leadershipoptions.h
@@ -43,9 +43,9 @@
     /// After the store has returned from an older copy: time in which the instances that know more write it again, before
     /// leadership counts as verified. With the outage shorter than the authority lease, so that work is not interrupted.
     Duration recoveryWait = std::chrono::milliseconds(1500);
-    /// The same for an instance that does not remember the era before: it also needs the entries of the backend servers,
-    /// which are back within 2 s.
-    Duration unawareRecoveryWait = std::chrono::milliseconds(2500);
+    /// The backend servers write their entries again within 2 s. An instance that does not remember the time before needs
+    /// them before it counts leadership as verified.
+    Duration entryWait = std::chrono::milliseconds(2500);
     Duration recoveryTurn = std::chrono::milliseconds(100); ///< between two members that write lost records again
     std::uint32_t recoveryTurns = 6;                        ///< later members write in the last turn
     /// Maximum age of the verified fleet view for starting a replacement and for requesting a promotion.
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -32,12 +32,6 @@
     this->registration.publish();
 }
 
-void LeadershipSystem::eraChanged()
-{
-    // Entries of the copy may show a candidate as the primary that it was before.
-    this->world.services.forEach([](ServiceId, ServiceRow &service) { service.candidates.clear(); });
-}
-
 void LeadershipSystem::scheduleCheck()
 {
     this->nextCheck = this->world.now + this->options.checkInterval;
@@ -129,7 +123,9 @@
 {
     // The holder may be unable to record the result. If the declared candidate was a replica at the announcement and
     // now reports itself as primary, it was promoted in this epoch, because promoting another server needs a new
-    // announcement.
+    // announcement. Entries of a store that has just returned from an older copy may be those of before.
+    if (this->registration.awaitsEntries())
+        return;
     const ServiceRow &service = this->world.services.at(id);
     const FleetView::Record *known = this->registration.fleet().record(service.name);
     if (known == nullptr || known->record.epoch != service.epoch)
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -33,8 +33,6 @@
     void start();
     /// The fleet view of RegistrationSystem has been updated.
     void fleetUpdated();
-    /// The store has returned from an older copy.
-    void eraChanged();
     /// Directory entries have changed, so primaries may have appeared or disappeared.
     void serversChanged();
     /// Checks all primaries; called every check interval.
--- a/src/leadership/recoverysystem.cpp
+++ b/src/leadership/recoverysystem.cpp
@@ -10,12 +10,12 @@
 void RecoverySystem::check()
 {
     const FleetView &view = this->registration.fleet();
-    if (view.revision() == 0 || this->world.role != FleetRole::Member || this->world.now < this->retryAt)
+    if (view.revision() == 0 || this->world.role != FleetRole::Member)
         return;
     if (this->world.now - view.eraSeenAt() < this->turn())
         return;
     for (const auto &[service, row] : view.records()) {
-        if (!row.lost)
+        if (!row.lost || this->world.now < this->recordsAt)
             continue;
         this->write(FleetView::recordName(service), row.version.revision, row.record.toText());
     }
@@ -27,7 +27,7 @@
 bool RecoverySystem::isMarkerDue() const
 {
     const FleetView &view = this->registration.fleet();
-    if (view.isEraRecovered() || !this->registration.isRegistered())
+    if (view.isEraRecovered() || !this->registration.isFleetViewCurrent() || this->world.now < this->markerAt)
         return false;
     // At the first start of the fleet there is nothing to recover.
     if (this->registration.isEraRecovered())
@@ -64,9 +64,11 @@
 bool RecoverySystem::writeFinished(const WriteOutcome &outcome)
 {
     const bool own = std::erase_if(this->calls, [&](const auto &entry) { return entry.second == outcome.call; }) > 0;
-    // Also after a success, until the watch shows it.
-    if (own)
-        this->retryAt = this->world.now + this->options.writeRetryDelay;
+    // Also after a success, until the watch shows it. The marker is not urgent.
+    if (own) {
+        this->recordsAt = this->world.now + this->options.writeRetryDelay;
+        this->markerAt = this->world.now + this->options.recoveryWait;
+    }
     return own;
 }
 
--- a/src/leadership/recoverysystem.h
+++ b/src/leadership/recoverysystem.h
@@ -42,7 +42,8 @@
     const RegistrationSystem &registration;
     LeadershipOptions options;
     std::map<std::string, std::uint64_t> calls; ///< writes in progress, by object name
-    TimePoint retryAt{0};                       ///< no write before, after a failed one
+    TimePoint recordsAt{0};                     ///< lost records are not written again before
+    TimePoint markerAt{0};                      ///< the same for the marker
 };
 
 } // namespace Jujubekeel
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -284,7 +284,7 @@
 TimePoint RegistrationSystem::recoveryEnd() const
 {
     return this->view.eraSeenAt()
-           + (this->view.remembersEarlierEra() ? this->options.recoveryWait : this->options.unawareRecoveryWait);
+           + (this->view.remembersEarlierEra() ? this->options.recoveryWait : this->options.entryWait);
 }
 
 bool RegistrationSystem::isRecovering() const
@@ -292,6 +292,11 @@
     return !this->isEraRecovered() && this->world.now < this->recoveryEnd();
 }
 
+bool RegistrationSystem::awaitsEntries() const
+{
+    return !this->isEraRecovered() && this->world.now < this->view.eraSeenAt() + this->options.entryWait;
+}
+
 bool RegistrationSystem::awaitsVerification() const
 {
     if (!this->registered)
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -70,6 +70,8 @@
     /// True while other instances may still have to write again what the store has lost: no view of it is verified, and
     /// no replacement starts.
     [[nodiscard]] bool isRecovering() const;
+    /// True while the backend servers may not have written their entries again yet.
+    [[nodiscard]] bool awaitsEntries() const;
     /// Time after which an instance accepts no results on its old fleet view any more.
     [[nodiscard]] Duration leaseExpiryTime() const;
 
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -288,7 +288,7 @@
     const auto &members = fleet.members();
     return std::all_of(members.begin(), members.end(), [&](const auto &entry) {
         if (entry.first == this->world.options.instance)
-            return service.released;
+            return service.released || service.primaryId != replacement.record.primary;
         if (entry.second.version.era != fleet.version().era && earlierLeasesExpired)
             return true;
         // An evicted instance may act on its old fleet view until its authority lease expires.
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -183,7 +183,6 @@
 
 void PoolCore::eraChanged()
 {
-    this->leadership.eraChanged();
     this->replacement.eraChanged();
     this->recovery.eraChanged();
 }
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -299,6 +299,7 @@
 {
     this->fleetStore.restore();
     this->storeAvailable = true;
+    this->announceServers();
 }
 
 void VirtualPool::openLink(std::size_t instance, const OpenLink &action)
--- a/tests/pool/memberprotocoltest.cpp
+++ b/tests/pool/memberprotocoltest.cpp
@@ -255,6 +255,25 @@
     EXPECT_EQ(std::get<ReplyToCaller>(*reply).reply.error->code, OutcomeCode::InDoubt);
 }
 
+// Guards against a resumed replacement that waits for its own holder, which already uses the promoted primary and so no
+// longer counts as having released the old one: a service had no primary for 22 s (day restored-in-replacement of
+// tffa-pool, seed 1).
+TEST(MemberProtocol, ResumedReplacementDoesNotWaitForItsHolder)
+{
+    OneMember member;
+    member.connectAll([](const std::string &) { return true; });
+    const LeadershipRecord declared{
+        .epoch = 1, .primary = "p", .changing = true, .candidate = "r", .termAbove = 1, .holder = "b"};
+    member.readFleet({FleetObject{.name = FleetView::recordName("s"), .content = declared.toText()}}, false);
+    member.core.entryChanged(member.now, OneMember::entry("r", true));
+    ASSERT_EQ(member.service().primaryId, "r");
+    for (int step = 0; step < 10; ++step) {
+        member.advance(milliseconds(100));
+        member.finishWrites();
+    }
+    EXPECT_GT(member.count(CommandKind::Status), 0U);
+}
+
 } // namespace
 
 } // namespace Jujubekeel
--- a/tests/pool/restoredstoretest.cpp
+++ b/tests/pool/restoredstoretest.cpp
@@ -16,6 +16,8 @@
 constexpr Duration replacementTarget = milliseconds(2300);
 /// Longest time without writes after a replacement that lost its records, as after lost answers of the store.
 constexpr Duration interruptedReplacementTarget = seconds(8);
+/// Backend servers write their entries again within 2 s of the store's return; records of the fleet likewise.
+constexpr Duration recoveryTarget = seconds(2);
 constexpr Duration restoreOutage = milliseconds(1500);
 
 /// Takes the store away for restoreOutage; it returns from its copy.
@@ -145,6 +147,25 @@
     }
 }
 
+// Guards against a resumed replacement that waits for its own holder, which already uses the promoted primary: a service
+// had none for 22 s (day restored-in-replacement of tffa-pool, seed 1).
+TEST(RestoredStore, ReplacementInterruptedAfterItsPromotionFinishes)
+{
+    LoadedPool run;
+    run.pool.run(seconds(2));
+    run.pool.store().takeCopy();
+    const TimePoint crash = run.pool.now();
+    run.pool.stopServer(0);
+    while (run.pool.promotions() == 0 && run.pool.now() - crash < seconds(5))
+        run.pool.run(milliseconds(1));
+    ASSERT_EQ(run.pool.promotions(), 1U);
+    restoreStore(run.pool);
+    run.finish();
+    EXPECT_LE(run.writeGap(crash), replacementTarget + restoreOutage + recoveryTarget);
+    EXPECT_GE(run.pool.countLogs("replacement-finished"), 1U);
+    expectIncreasingTokens(run.pool);
+}
+
 // Guards against an instance that starts on the restored store and uses a replaced primary, which does not know of its
 // replacement either, because the record of it is not in the copy.
 TEST(RestoredStore, StartedInstanceDoesNotUseAReplacedPrimary)
