A leaving server stays so when the store shows an older entry of it

Cause: a store that returned from an older copy lists a server as ready that has reported since that it is leaving; for up to 2 s, until it writes again, it got new work and counted as a candidate. Change: leaving ends only with the process; an entry of the same incarnation does not take it back. Evidence: MemberProtocol.LeavingServerStaysSoUntilItRestarts failed before and passes now.

--- a/src/pool/directorysystem.cpp
+++ b/src/pool/directorysystem.cpp
@@ -77,9 +77,13 @@
     const bool restarted = row.entry.incarnation != entry.incarnation;
     const bool moved = row.entry.address != entry.address;
     const bool startsDraining = entry.draining && !row.entry.draining;
+    // A server that leaves does so until it restarts; another entry of the same process comes from an older copy of the
+    // store.
+    const bool stillDraining = row.entry.draining && !restarted && entry.incarnation != 0;
     row.entry = entry;
+    row.entry.draining = entry.draining || stillDraining;
     row.missingSince = TimePoint{0};
-    if (!entry.draining)
+    if (!row.entry.draining)
         row.drainingSince = TimePoint{0};
     if (restarted || moved) {
         // The state was that of another process or address.
--- a/tests/pool/memberprotocoltest.cpp
+++ b/tests/pool/memberprotocoltest.cpp
@@ -274,6 +274,29 @@
     EXPECT_GT(member.count(CommandKind::Status), 0U);
 }
 
+// Guards against a server that is leaving getting new work again, because a store that returned from an older copy shows
+// its entry of before.
+TEST(MemberProtocol, LeavingServerStaysSoUntilItRestarts)
+{
+    OneMember member;
+    ServerEntry leaving = OneMember::entry("r", false);
+    leaving.incarnation = 5;
+    leaving.draining = true;
+    member.core.entryChanged(member.now, leaving);
+    const auto isLeaving = [&] {
+        const PoolWorld &state = member.core.state();
+        return state.servers.at(state.serverById.at("r")).entry.draining;
+    };
+    ServerEntry earlier = leaving;
+    earlier.draining = false;
+    member.core.entriesListed(member.now, {OneMember::entry("p", true), earlier});
+    EXPECT_TRUE(isLeaving());
+    ServerEntry restarted = earlier;
+    restarted.incarnation = 6;
+    member.core.entryChanged(member.now, restarted);
+    EXPECT_FALSE(isLeaving());
+}
+
 } // namespace
 
 } // namespace Jujubekeel
