Registrations of instances that have left are not taken from an older copy

Callers saw (virtual time): after the store's return a failed primary was replaced in 6.8 s instead of 2.3 s, since the replacement waited for the lease of an instance that had unregistered after the copy was taken. Change: a registration names the era in which it was made. One of an earlier era counts only until the leases of that era have expired; then it is removed, under its revision, before the era is marked as recovered. Evidence: RestoredStore.InstancesThatHaveLeftAreNotWaitedFor failed before (6.849 s) and passes now.

--- a/src/leadership/memberrecord.cpp
+++ b/src/leadership/memberrecord.cpp
@@ -20,6 +20,7 @@
     for (const auto &[service, view] : this->views)
         seen[service] = view == PrimaryView::Reachable;
     return nlohmann::json{{"incarnation", this->incarnation},
+                          {"era", this->era},
                           {"renewals", this->renewals},
                           {"relayAddress", this->relayAddress},
                           {"domain", this->failureDomain},
@@ -40,6 +41,7 @@
                             .relayAddress = root.value("relayAddress", std::string()),
                             .failureDomain = root.value("domain", std::string()),
                             .state = static_cast<MemberState>(std::min(root.value("state", 0U), lastMemberState)),
+                            .era = root.value("era", std::uint64_t{0}),
                             .renewals = root.at("renewals").get<std::uint64_t>()};
         for (const auto &[service, reachable] : root.at("reachable").items())
             record.views[service] = reachable.get<bool>() ? PrimaryView::Reachable : PrimaryView::Unreachable;
--- a/src/leadership/memberrecord.h
+++ b/src/leadership/memberrecord.h
@@ -26,6 +26,7 @@
     std::string relayAddress;      ///< "ip:port" for relayed work; empty: accepts none
     std::string failureDomain;
     MemberState state = MemberState::Joining;
+    std::uint64_t era = 0;      ///< of the store in which the instance registered; 0: not known
     std::uint64_t renewals = 0; ///< increases whenever the instance registers again after its authority lease expired
     std::map<std::string, PrimaryView> views;      ///< by service; only for suspected primaries
     std::map<std::string, std::uint64_t> released; ///< by service: epoch whose old primary it no longer uses
@@ -33,6 +34,8 @@
     /// True if the instance did not release a primary in time and was evicted (log event member-struck-off). It may act
     /// on its old fleet view until its authority lease expires.
     [[nodiscard]] bool isEvicted() const { return this->incarnation == 0; }
+    /// True if the instance registered in an earlier era of the store than \a presentEra, and not again since.
+    [[nodiscard]] bool isOutdated(std::uint64_t presentEra) const { return this->era != 0 && this->era < presentEra; }
     [[nodiscard]] std::string toText() const;
     [[nodiscard]] static std::optional<MemberRecord> fromText(std::string_view text);
     bool operator==(const MemberRecord &) const = default;
--- a/src/leadership/recoverysystem.cpp
+++ b/src/leadership/recoverysystem.cpp
@@ -19,9 +19,28 @@
             continue;
         this->write(FleetView::recordName(service), row.version.revision, row.record.toText());
     }
-    if (this->isMarkerDue())
-        this->write(std::string(FleetView::recoveryName), view.recoveryRevision(),
-                    FleetView::recoveryText(view.version().era));
+    if (!this->isMarkerDue())
+        return;
+    this->removeOutdatedMembers();
+    this->write(std::string(FleetView::recoveryName), view.recoveryRevision(),
+                FleetView::recoveryText(view.version().era));
+}
+
+void RecoverySystem::removeOutdatedMembers()
+{
+    // Their authority leases have expired. An instance that is still running registers again.
+    const FleetView &view = this->registration.fleet();
+    for (const auto &[instance, member] : view.members()) {
+        const std::string name = FleetView::memberName(instance);
+        const bool stored = member.version.era == view.version().era;
+        if (!stored || !member.record.isOutdated(view.version().era) || this->calls.contains(name))
+            continue;
+        const std::uint64_t call = this->world.takeCall();
+        this->calls.emplace(name, call);
+        this->world.log(LogLevel::Info, "outdated-member-removed",
+                        {{"member", instance}, {"era", std::to_string(member.record.era)}});
+        this->world.emit(DeleteFleetObject{.call = call, .name = name, .expectedRevision = member.version.revision});
+    }
 }
 
 bool RecoverySystem::isMarkerDue() const
--- a/src/leadership/recoverysystem.h
+++ b/src/leadership/recoverysystem.h
@@ -13,7 +13,8 @@
 struct PoolWorld;
 
 /// Restores what the store has lost after it returned from an older copy: writes leadership records again that this
-/// member still knows, and marks the era as recovered when the authority leases of the era before have expired. The
+/// member still knows. When the authority leases of the era before have expired, it removes registrations that nobody has
+/// renewed and marks the era as recovered. The
 /// members take turns, so that usually only the first one writes. Owned by PoolCore; used only within its calls.
 class RecoverySystem final
 {
@@ -33,6 +34,8 @@
 
 private:
     [[nodiscard]] bool isMarkerDue() const;
+    /// Removes registrations that the copy contains again, of instances that have not registered since.
+    void removeOutdatedMembers();
     /// Delay of this member's turn.
     [[nodiscard]] Duration turn() const;
     /// Writes an object unless a write of it is in progress.
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -167,6 +167,7 @@
             this->world.role = FleetRole::Relaying;
         return;
     }
+    this->desired.era = this->view.version().era;
     this->written = this->desired;
     this->writeCall = this->world.takeCall();
     this->world.emit(WriteFleetObject{.call = this->writeCall,
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -289,7 +289,9 @@
     return std::all_of(members.begin(), members.end(), [&](const auto &entry) {
         if (entry.first == this->world.options.instance)
             return service.released || service.primaryId != replacement.record.primary;
-        if (entry.second.version.era != fleet.version().era && earlierLeasesExpired)
+        const bool registered =
+            entry.second.version.era == fleet.version().era && !entry.second.record.isOutdated(fleet.version().era);
+        if (!registered && earlierLeasesExpired)
             return true;
         // An evicted instance may act on its old fleet view until its authority lease expires.
         if (entry.second.record.isEvicted())
--- a/tests/pool/restoredstoretest.cpp
+++ b/tests/pool/restoredstoretest.cpp
@@ -213,6 +213,29 @@
     expectIncreasingTokens(pool);
 }
 
+// Guards against the registration of an instance that has left for good: the copy contains it again, and replacements
+// wait for the instance until its authority lease would have expired.
+TEST(RestoredStore, InstancesThatHaveLeftAreNotWaitedFor)
+{
+    VirtualPool pool({.instances = 4});
+    pool.run(seconds(2));
+    pool.store().takeCopy();
+    pool.requestStop(3);
+    pool.run(seconds(4));
+    ASSERT_TRUE(pool.store().list("member.i3").objects.empty());
+    restoreStore(pool);
+    pool.run(seconds(7));
+    const TimePoint crash = pool.now();
+    pool.stopServer(0);
+    CallerReply reply{.error = OutcomeError{}};
+    for (int attempt = 0; attempt < 20 && reply.error; ++attempt) {
+        const auto caller = *pool.openCaller(0, VirtualPool::primaryRoute);
+        reply = runStatement(pool, caller, StatementKind::Write, "w" + std::to_string(attempt), "WRITE 1 x");
+    }
+    EXPECT_LE(pool.now() - crash, replacementTarget);
+    EXPECT_TRUE(pool.store().list("member.i3").objects.empty());
+}
+
 // Guards against a service without a usable primary after all instances that knew of its replacement have been killed:
 // the record in the copy names a server that has become a replica.
 TEST(RestoredStore, PrimaryIsFoundWhenNoInstanceRemembersIt)
