--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -147,27 +147,28 @@
             continue;
         replacement.call = 0;
         const StoreVersion written{.era = outcome.era, .revision = outcome.revision};
-        if (outcome.result == WriteResult::Ok && written.era != this->registration.fleet().version().era) {
-            // The record is in a store that this instance has not read since it was restored. It is resumed from there.
+        const bool succeeded = outcome.result == WriteResult::Ok;
+        const bool inAnotherEra = succeeded && written.era != this->registration.fleet().version().era;
+        const bool unannounced = !succeeded && replacement.step == Step::Announce;
+        if (inAnotherEra || unannounced || outcome.result == WriteResult::Conflict) {
+            // Another instance was first, the store is unavailable, or it has returned from an older copy that this
+            // instance has not read yet. If the write took effect nevertheless, the record will show it and the
+            // replacement is resumed.
             this->replacements.erase(id);
-        } else if (outcome.result == WriteResult::Ok && replacement.step == Step::Announce) {
+        } else if (succeeded && replacement.step == Step::Announce) {
             replacement.announced = written;
             replacement.expectedRevision = outcome.revision;
             replacement.announcedAt = this->world.now;
             this->enter(replacement, Step::AwaitRelease);
-        } else if (outcome.result == WriteResult::Ok && replacement.step == Step::Declare) {
+        } else if (succeeded && replacement.step == Step::Declare) {
             replacement.expectedRevision = outcome.revision;
             this->enter(replacement, Step::Promote);
-        } else if (outcome.result == WriteResult::Ok) {
+        } else if (succeeded) {
             this->world.log(LogLevel::Info, "replacement-finished",
                             {{"service", this->world.services.at(id).name},
                              {"primary", replacement.record.candidate},
                              {"tookMs", std::to_string((this->world.now - replacement.startedAt).count() / 1000)}});
             this->replacements.erase(id);
-        } else if (replacement.step == Step::Announce || outcome.result == WriteResult::Conflict) {
-            // Another instance was first, or the store is unavailable. If the announcement took effect nevertheless,
-            // the record will show it and the replacement is resumed.
-            this->replacements.erase(id);
         } else {
             replacement.retryAt = this->world.now + this->options.callRetryDelay;
         }
--- a/tests/pool/restoredstoretest.cpp
+++ b/tests/pool/restoredstoretest.cpp
@@ -213,6 +213,41 @@
     expectIncreasingTokens(pool);
 }
 
+// Guards against an instance that keeps an epoch which the fleet no longer knows: it was cut off from the store until the
+// recovery was over, and ignores later announcements with the same epoch.
+TEST(RestoredStore, LateInstanceAdoptsWhatTheFleetHasAgreedOn)
+{
+    VirtualPool pool({});
+    pool.run(seconds(2));
+    pool.store().takeCopy();
+    pool.stopServer(0);
+    const auto caller = *pool.openCaller(2, VirtualPool::primaryRoute);
+    pool.send(caller, Statement{.kind = StatementKind::Write, .id = "w1", .text = "WRITE 1 x"});
+    runUntilLogged(pool, "replacement-finished");
+    pool.startServer(0);
+    pool.run(seconds(1));
+    pool.setStoreReachable(2, false);
+    pool.killInstance(0);
+    pool.killInstance(1);
+    restoreStore(pool);
+    pool.startInstance(0);
+    pool.startInstance(1);
+    pool.run(seconds(10));
+    pool.setStoreReachable(2, true);
+    pool.run(seconds(3));
+    EXPECT_EQ(pool.countLogs("leadership-discarded"), 1U);
+
+    const TimePoint crash = pool.now();
+    pool.stopServer(pool.group().isPrimary(1) ? 1 : 2);
+    CallerReply reply{.error = OutcomeError{}};
+    for (int attempt = 0; attempt < 20 && reply.error; ++attempt) {
+        const auto writer = *pool.openCaller(2, VirtualPool::primaryRoute);
+        reply = runStatement(pool, writer, StatementKind::Write, "x" + std::to_string(attempt), "WRITE 1 x");
+    }
+    EXPECT_LE(pool.now() - crash, replacementTarget);
+    expectIncreasingTokens(pool);
+}
+
 // Guards against the registration of an instance that has left for good: the copy contains it again, and replacements
 // wait for the instance until its authority lease would have expired.
 TEST(RestoredStore, InstancesThatHaveLeftAreNotWaitedFor)
