--- a/src/leadership/leadershipoptions.h
+++ b/src/leadership/leadershipoptions.h
@@ -40,8 +40,8 @@
     Duration registrationSlotInterval = std::chrono::milliseconds(12);
     /// A member that has been unreachable for this long no longer counts towards the limit of members.
     Duration memberTimeout = std::chrono::seconds(8);
-    /// After the store has returned from an older copy: time in which the instances that know more write it again, before
-    /// leadership counts as verified. With the outage shorter than the authority lease, so that work is not interrupted.
+    /// After the store has returned from an older copy: time in which instances that know more write it again, before
+    /// leadership counts as verified. It must end within the authority lease, the outage included, so that work goes on.
     Duration recoveryWait = std::chrono::milliseconds(1500);
     /// The backend servers write their entries again within 2 s. An instance that does not remember the time before needs
     /// them before it counts leadership as verified.
--- a/tests/leadership/fleetviewtest.cpp
+++ b/tests/leadership/fleetviewtest.cpp
@@ -53,6 +53,72 @@
     EXPECT_EQ(view.member("i1"), nullptr);
 }
 
+FleetObject makeMemberObject(std::uint64_t revision, const std::string &instance, std::uint64_t incarnation)
+{
+    return FleetObject{.name = FleetView::memberName(instance),
+                       .revision = revision,
+                       .content = MemberRecord{.incarnation = incarnation}.toText()};
+}
+
+// Guards against an older record of a restored store that replaces the one that this instance knows.
+TEST(FleetView, LaterRecordOfBeforeIsKeptUntilTheStoreHasIt)
+{
+    FleetView view;
+    view.apply({.complete = true, .objects = {makeLeadershipObject(30, 2, "b")}, .revision = 30, .era = 1},
+               milliseconds(1));
+    view.apply({.complete = true, .objects = {makeLeadershipObject(5, 1, "a")}, .revision = 12, .era = 2},
+               milliseconds(2));
+    EXPECT_EQ(view.record("records")->record.primary, "b");
+    EXPECT_TRUE(view.record("records")->lost);
+    EXPECT_EQ(view.record("records")->version, (StoreVersion{.era = 2, .revision = 5}));
+    view.apply({.objects = {makeLeadershipObject(13, 2, "b")}, .revision = 13, .era = 2}, milliseconds(3));
+    EXPECT_FALSE(view.record("records")->lost);
+    EXPECT_EQ(view.record("records")->version, (StoreVersion{.era = 2, .revision = 13}));
+}
+
+// Guards against registrations of before being forgotten while their leases may still hold, or kept afterwards.
+TEST(FleetView, MembersOfBeforeAreRememberedUntilTheEraIsRecovered)
+{
+    FleetView view;
+    view.apply({.complete = true, .objects = {makeMemberObject(30, "i1", 4)}, .revision = 30, .era = 1},
+               milliseconds(1));
+    view.apply({.complete = true, .revision = 12, .era = 2}, milliseconds(2));
+    ASSERT_NE(view.member("i1"), nullptr);
+    EXPECT_EQ(view.currentMember("i1"), nullptr);
+    EXPECT_FALSE(view.isEraRecovered());
+    view.apply({.objects = {{.name = std::string(FleetView::recoveryName),
+                             .revision = 13,
+                             .content = FleetView::recoveryText(2)}},
+                .revision = 13,
+                .era = 2},
+               milliseconds(3));
+    EXPECT_TRUE(view.isEraRecovered());
+    EXPECT_EQ(view.member("i1"), nullptr);
+}
+
+// Guards against changes of another era being added to a view that lacks the changes before them.
+TEST(FleetView, ChangesOfAnotherEraNeedACompleteList)
+{
+    FleetView view;
+    view.apply({.complete = true, .objects = {makeMemberObject(30, "i1", 4)}, .revision = 30, .era = 1},
+               milliseconds(1));
+    EXPECT_FALSE(view.apply({.objects = {makeMemberObject(40, "i2", 5)}, .revision = 40, .era = 2}, milliseconds(2)));
+    EXPECT_EQ(view.member("i2"), nullptr);
+}
+
+// Guards against a reported registration that is dropped because the restored store gave it a lower revision.
+TEST(FleetView, ReportOfALaterEraReplacesMembers)
+{
+    FleetView view;
+    EXPECT_TRUE(view.apply(
+        {.complete = true, .reported = true, .objects = {makeMemberObject(30, "i1", 4)}, .revision = 30, .era = 1},
+        milliseconds(1)));
+    EXPECT_TRUE(view.apply(
+        {.complete = true, .reported = true, .objects = {makeMemberObject(9, "i1", 5)}, .revision = 12, .era = 2},
+        milliseconds(2)));
+    EXPECT_EQ(view.member("i1")->record.incarnation, 5U);
+}
+
 } // namespace
 
 } // namespace Jujubekeel
--- a/tests/platform/storedecodertest.cpp
+++ b/tests/platform/storedecodertest.cpp
@@ -1,6 +1,8 @@
 #include "storedecoder.h"
 #include "settingsreader.h"
 
+#include "net/httpclient.h"
+
 #include <gtest/gtest.h>
 
 #include <cstdio>
@@ -54,6 +56,20 @@
     }
 }
 
+// Guards against an era that is missing or no number being taken for one.
+TEST(StoreDecoder, DecodesTheEraOfTheStore)
+{
+    const auto eraOf = [](const std::string &text) {
+        HttpClientResponse response;
+        response.headers.set("Store-Era", text);
+        return decodeStoreEra(response);
+    };
+    EXPECT_EQ(eraOf("7"), 7U);
+    for (const std::string text : {"", "-1", "7x", "99999999999999999999999"})
+        EXPECT_EQ(eraOf(text), 0U) << text;
+    EXPECT_EQ(decodeStoreEra(HttpClientResponse{}), 0U);
+}
+
 // Guards against routes being decoded with another consistency, staleness or version than configured.
 TEST(StoreDecoder, DecodesRoutes)
 {
--- a/tests/pool/restoredstoretest.cpp
+++ b/tests/pool/restoredstoretest.cpp
@@ -213,6 +213,33 @@
     expectIncreasingTokens(pool);
 }
 
+// The same if no instance that starts on the restored store has ever read of the member.
+TEST(RestoredStore, UnknownMembersOfBeforeAreWaitedFor)
+{
+    VirtualPool pool({.instances = 4});
+    pool.run(seconds(2));
+    pool.killInstance(3);
+    const auto killed = pool.store().list("member.i3").objects.at(0);
+    static_cast<void>(pool.store().remove({.name = killed.name, .expectedRevision = killed.revision}));
+    pool.store().takeCopy();
+    pool.startInstance(3);
+    pool.run(seconds(3));
+    pool.setStoreReachable(3, false);
+    pool.setStoreAvailable(false);
+    for (std::size_t instance = 0; instance < 3; ++instance)
+        pool.killInstance(instance);
+    pool.run(milliseconds(100));
+    pool.returnStoreFromCopy();
+    pool.group().setReplicationIsolated(0, true);
+    for (std::size_t instance = 0; instance < 3; ++instance) {
+        pool.isolateInstanceFromServer(instance, 0, true);
+        pool.startInstance(instance);
+    }
+    writeThrough(pool, 3, seconds(12));
+    EXPECT_GE(pool.promotions(), 1U);
+    expectIncreasingTokens(pool);
+}
+
 // Guards against an instance that keeps an epoch which the fleet no longer knows: it was cut off from the store until the
 // recovery was over, and ignores later announcements with the same epoch.
 TEST(RestoredStore, LateInstanceAdoptsWhatTheFleetHasAgreedOn)
