--- a/tests/pool/memberprotocoltest.cpp
+++ b/tests/pool/memberprotocoltest.cpp
@@ -70,6 +70,7 @@
         this->core.fleetUpdated(this->now, FleetUpdate{.complete = complete,
                                                        .objects = std::move(objects),
                                                        .revision = this->revision,
+                                                       .era = this->era,
                                                        .requestedAt = this->now});
         this->take();
     }
@@ -87,8 +88,10 @@
         for (const WriteFleetObject &write : writes) {
             this->written.push_back(write);
             this->readFleet({FleetObject{.name = write.name, .content = write.content}}, false);
-            this->core.writeFinished(
-                this->now, WriteOutcome{.call = write.call, .result = WriteResult::Ok, .revision = this->revision});
+            this->core.writeFinished(this->now, WriteOutcome{.call = write.call,
+                                                             .result = WriteResult::Ok,
+                                                             .revision = this->revision,
+                                                             .era = this->era});
             this->take();
         }
     }
@@ -113,6 +116,16 @@
             this->take();
         }
     }
+    template <typename Action>
+    [[nodiscard]] std::vector<Action> actionsOf() const
+    {
+        std::vector<Action> found;
+        for (const PoolAction &action : this->actions) {
+            if (const auto *match = std::get_if<Action>(&action))
+                found.push_back(*match);
+        }
+        return found;
+    }
     [[nodiscard]] std::size_t count(CommandKind kind) const
     {
         return static_cast<std::size_t>(
@@ -129,6 +142,7 @@
     TimePoint now{seconds(100)};
     PoolCore core;
     std::uint64_t revision = 1;
+    std::uint64_t era = 0; ///< of the store
     std::vector<PoolAction> actions;
     std::vector<WriteFleetObject> written;
     std::vector<std::pair<std::string, LinkId>> links;
@@ -297,6 +311,71 @@
     EXPECT_FALSE(isLeaving());
 }
 
+// Guards against a registration that took effect in a store which this instance has not read since it was restored: the
+// revision under which it would be renewed has an unknown history.
+TEST(MemberProtocol, RegistrationInAnUnknownEraIsRepeated)
+{
+    OneMember member;
+    member.finishWrites();
+    member.era = 1;
+    member.readFleet({}, true);
+    const auto first = member.actionsOf<WriteFleetObject>();
+    ASSERT_EQ(first.size(), 1U);
+    member.core.writeFinished(member.now,
+                              WriteOutcome{.call = first[0].call, .result = WriteResult::Ok, .revision = 3, .era = 2});
+    member.advance(milliseconds(300));
+    member.readFleet({}, false);
+    EXPECT_GT(member.actionsOf<WriteFleetObject>().size(), 1U);
+}
+
+// Guards against entries of the copy deciding that a candidate has taken over: they may show it as the primary that it was
+// before.
+TEST(MemberProtocol, EntriesOfARestoredStoreDoNotNameTheSuccessorAtOnce)
+{
+    OneMember member;
+    const LeadershipRecord declared{
+        .epoch = 1, .primary = "p", .changing = true, .candidate = "r", .termAbove = 1, .holder = "a"};
+    member.readFleet({FleetObject{.name = FleetView::recordName("s"), .content = declared.toText()}}, false);
+    ASSERT_TRUE(member.service().changing);
+    member.era = 1;
+    member.readFleet({}, true);
+    member.core.entryChanged(member.now, OneMember::entry("r", true));
+    EXPECT_EQ(member.service().primaryId, "p");
+    member.advance(seconds(3));
+    member.readFleet({}, false);
+    EXPECT_EQ(member.service().primaryId, "r");
+}
+
+// Guards against a promotion under the fencing token of an announcement that the restored store does not contain.
+TEST(MemberProtocol, PromotionIsNotRepeatedInAnotherEra)
+{
+    OneMember member;
+    const auto onlyReplica = [](const std::string &address) { return address == "r"; };
+    for (int step = 0; step < 40 && member.actionsOf<PromoteServer>().empty(); ++step) {
+        member.connectAll(onlyReplica);
+        member.finishWrites();
+        member.advance(milliseconds(50));
+        member.readFleet({}, false);
+        for (const auto &[address, link] : member.links) {
+            const ReplicationStatus status{.term = 1, .received = LogPosition{.term = 1, .position = 5}};
+            member.core.linkMessageReceived(member.now, link,
+                                            ServerMessage{.kind = ServerMessageKind::Row, .status = status});
+            member.core.linkMessageReceived(member.now, link,
+                                            ServerMessage{.kind = ServerMessageKind::Done, .text = "-"});
+            member.core.linkMessageReceived(member.now, link, ServerMessage{.kind = ServerMessageKind::Ready});
+        }
+        member.take();
+    }
+    const auto promotions = member.actionsOf<PromoteServer>();
+    ASSERT_EQ(promotions.size(), 1U);
+    member.core.promotionFinished(member.now, PromotionOutcome{.call = promotions[0].call});
+    member.era = 1;
+    member.readFleet({}, true);
+    member.advance(seconds(1));
+    member.readFleet({}, false);
+    EXPECT_EQ(member.actionsOf<PromoteServer>().size(), 1U);
+}
+
 } // namespace
 
 } // namespace Jujubekeel
