--- a/tests/pool/memberprotocoltest.cpp
+++ b/tests/pool/memberprotocoltest.cpp
@@ -321,9 +321,15 @@
     member.readFleet({}, true);
     const auto first = member.actionsOf<WriteFleetObject>();
     ASSERT_EQ(first.size(), 1U);
+    const auto countRegistrations = [&] {
+        const auto lines = member.actionsOf<WriteLog>();
+        return std::count_if(lines.begin(), lines.end(), [](const auto &line) { return line.event == "registered"; });
+    };
+    const auto before = countRegistrations();
     member.core.writeFinished(member.now,
                               WriteOutcome{.call = first[0].call, .result = WriteResult::Ok, .revision = 3, .era = 2});
     member.advance(milliseconds(300));
+    EXPECT_EQ(countRegistrations(), before);
     EXPECT_GT(member.actionsOf<WriteFleetObject>().size(), 1U);
 }
 
