--- a/src/leadership/recoverysystem.h
+++ b/src/leadership/recoverysystem.h
@@ -13,9 +13,9 @@
 struct PoolWorld;
 
 /// Restores what the store has lost after it returned from an older copy: writes leadership records again that this
-/// member still knows. When the authority leases of the era before have expired, it removes registrations that nobody has
-/// renewed and marks the era as recovered. The
-/// members take turns, so that usually only the first one writes. Owned by PoolCore; used only within its calls.
+/// member still knows. When the authority leases of the era before have expired, it removes registrations that nobody
+/// has renewed and marks the era as recovered. The members take turns, so that usually only the first one writes. Owned
+/// by PoolCore; used only within its calls.
 class RecoverySystem final
 {
 public:
