Process tests wait for the end of a killed process before they start it again

The script started it right after SIGKILL, without waiting for the old process, which still held the address. kill_process waits; four scripts use it. The platform restarts a process after its end, so the checks are the same. Not repeated before the change; platformoutage, proxykilled and storerestored passed once each with it.

--- a/tests/process/platformoutage.sh
+++ b/tests/process/platformoutage.sh
@@ -17,7 +17,7 @@
 expect_ledger "$(other_instance "$first")" "one,two,three"
 
 step="proxy restarted during the outage"
-kill -KILL "${fleet_pid_of[$first]}"
+kill_process "$first"
 start_proxy "$user" "$first"
 wait_until 60 serves_reads "$user" "$first" "$database" || fail "$first did not get the rules from its peers"
 
--- a/tests/process/proxykilled.sh
+++ b/tests/process/proxykilled.sh
@@ -8,7 +8,7 @@
 first=$(instances_of "$user" | head -1)
 append_entry "$first" one
 owner=$(primary_owner "$first")
-kill -KILL "${fleet_pid_of[$owner]}"
+kill_process "$owner"
 other=$(other_instance "$owner")
 
 step="repeat through another proxy"
--- a/tests/process/statements.sh
+++ b/tests/process/statements.sh
@@ -53,7 +53,7 @@
 write_until_done 2 filings failover || fail "no write through the second instance: $answer"
 
 step="killed instance"
-kill -KILL "${fleet_pid_of[first]}"
+kill_process first
 start_entry first 1
 write_until_done 1 filings restarted || fail "no write through the restarted instance: $answer"
 
--- a/tests/process/storerestored.sh
+++ b/tests/process/storerestored.sh
@@ -41,7 +41,7 @@
 write_until_done 1 filings second || fail "no write after the second failover: $answer"
 
 step="killed instance"
-kill -KILL "${fleet_pid_of[first]}"
+kill_process first
 start_entry first 1
 write_until_done 1 extra restarted || fail "no write through the restarted instance: $answer"
 
--- a/tools/lib/fleet.sh
+++ b/tools/lib/fleet.sh
@@ -49,6 +49,12 @@
     fleet_pids+=($!)
 }
 
+# kill_process NAME: kills a process and waits for its end, after which its addresses can be used again.
+kill_process() {
+    kill -KILL "${fleet_pid_of[$1]}"
+    wait "${fleet_pid_of[$1]}" 2>/dev/null || true
+}
+
 # wait_until SECONDS COMMAND...: repeats the command until it succeeds; fails after the given time.
 wait_until() {
     local limit=$1 end
