One pass over the recovery marker; the condition for an unaware instance in one place

Read once more as a whole: FleetView read the marker twice on entering an era, three systems spelled out that the store may have lost what an instance has never read, and two tests each repeated a search and a loop.

--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -40,11 +40,17 @@
     const bool continues = update.complete || version.era == this->knownVersion.era || this->revision() == 0;
     if (version < this->knownVersion || !continues)
         return false;
-    if (version.era != this->knownVersion.era || this->revision() == 0)
-        this->enterEra(update, now);
+    const bool entersEra = version.era != this->knownVersion.era || this->revision() == 0;
+    if (entersEra)
+        this->enterEra(now);
     this->knownVersion = version;
     for (const FleetObject &object : update.objects)
         this->applyMarker(object);
+    // An instance that learns of the era only after its recovery adopts what the fleet has agreed on since.
+    if (entersEra && this->isEraRecovered()) {
+        this->recordRows.clear();
+        this->memberRows.clear();
+    }
     if (update.complete)
         this->removeMissing(update);
     else if (this->isEraRecovered())
@@ -100,19 +106,12 @@
     return digest;
 }
 
-void FleetView::enterEra(const FleetUpdate &update, TimePoint now)
+void FleetView::enterEra(TimePoint now)
 {
     this->hasEarlierEra = this->revision() != 0;
     this->eraFirstSeen = now;
     this->recoveredEra = 0;
     this->markerRevision = 0;
-    for (const FleetObject &object : update.objects)
-        this->applyMarker(object);
-    // An instance that learns of the era only after its recovery adopts what the fleet has agreed on since.
-    if (this->recoveredEra == update.era) {
-        this->recordRows.clear();
-        this->memberRows.clear();
-    }
 }
 
 void FleetView::applyMarker(const FleetObject &object)
--- a/src/leadership/fleetview.h
+++ b/src/leadership/fleetview.h
@@ -76,7 +76,7 @@
     void applyObject(const FleetObject &object, std::uint64_t era, TimePoint now);
     bool applyReported(const FleetUpdate &update, TimePoint now);
     void removeMissing(const FleetUpdate &update);
-    void enterEra(const FleetUpdate &update, TimePoint now);
+    void enterEra(TimePoint now);
     void applyMarker(const FleetObject &object);
     void applyRecord(const std::string &service, const LeadershipRecord &record, StoreVersion version, TimePoint now);
 
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -228,7 +228,7 @@
 bool LeadershipSystem::isContradicted(const ServiceRow &service) const
 {
     // Otherwise an entry is just older than the record.
-    if (this->registration.isEraRecovered() || this->registration.fleet().remembersEarlierEra())
+    if (!this->registration.mayLackEarlierEra())
         return false;
     const ServerRow *primary = this->world.servers.find(service.primary);
     if (primary == nullptr || primary->entry.claimsPrimary)
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -67,6 +67,11 @@
     /// False after the store has returned from an older copy, until what it has lost was written again and the
     /// authority leases of before have expired.
     [[nodiscard]] bool isEraRecovered() const;
+    /// True if the store may have lost what this instance has never read.
+    [[nodiscard]] bool mayLackEarlierEra() const
+    {
+        return !this->isEraRecovered() && !this->view.remembersEarlierEra();
+    }
     /// True while other instances may still have to write again what the store has lost: no view of it is verified, and
     /// no replacement starts.
     [[nodiscard]] bool isRecovering() const;
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -284,7 +284,7 @@
     const FleetView &fleet = this->registration.fleet();
     const bool earlierLeasesExpired = this->world.now - fleet.eraSeenAt() >= expiry;
     // The store may have lost registrations that this instance has never read.
-    if (!this->registration.isEraRecovered() && !fleet.remembersEarlierEra() && !earlierLeasesExpired)
+    if (this->registration.mayLackEarlierEra() && !earlierLeasesExpired)
         return false;
     const auto &members = fleet.members();
     return std::all_of(members.begin(), members.end(), [&](const auto &entry) {
@@ -438,8 +438,8 @@
         return status.term > replacement.record.termAbove;
     // Promoted by a replacement whose record the store has lost. Without the term of the recorded primary, a primary of
     // before could be mistaken for it.
-    const bool mayBeLost = !this->registration.isEraRecovered() && !this->registration.fleet().remembersEarlierEra();
-    return mayBeLost && replacement.record.term != 0 && status.term > replacement.record.term;
+    return this->registration.mayLackEarlierEra() && replacement.record.term != 0
+           && status.term > replacement.record.term;
 }
 
 std::string ReplacementSystem::bestCandidate(const Replacement &replacement,
--- a/tests/pool/poolfleettest.cpp
+++ b/tests/pool/poolfleettest.cpp
@@ -335,12 +335,9 @@
         run.pool.startInstance(instance);
     const TimePoint restarted = run.pool.now();
     run.finish();
-    const auto &all = run.workload.operations();
-    const auto first = std::find_if(all.begin(), all.end(), [&](const PoolOperation &entry) {
-        return entry.acknowledged && entry.endedAt > restarted;
-    });
-    ASSERT_NE(first, all.end());
-    EXPECT_LE(first->endedAt - restarted, seconds(2));
+    const auto first = run.firstAcknowledgedAfter(restarted);
+    ASSERT_TRUE(first.has_value());
+    EXPECT_LE(*first, seconds(2));
 }
 
 // Guards against an instance that has never verified leadership accepting results of the primary: on a machine that
--- a/tests/pool/poolsupport.h
+++ b/tests/pool/poolsupport.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -66,6 +67,16 @@
     /// Longest time without an acknowledged write, from \a from to the end of the load.
     [[nodiscard]] Duration writeGap(TimePoint from) const { return this->workload.longestWriteGap(from, this->end); }
 
+    /// From \a start to the first acknowledged operation that ended after it; empty if there is none.
+    [[nodiscard]] std::optional<Duration> firstAcknowledgedAfter(TimePoint start) const
+    {
+        const auto &all = this->workload.operations();
+        const auto first = std::find_if(all.begin(), all.end(), [&](const PoolOperation &entry) {
+            return entry.acknowledged && entry.endedAt > start;
+        });
+        return first == all.end() ? std::nullopt : std::optional(first->endedAt - start);
+    }
+
     VirtualPool pool;
     PoolWorkload workload;
     TimePoint end{0};
--- a/tests/pool/restoredstoretest.cpp
+++ b/tests/pool/restoredstoretest.cpp
@@ -68,6 +68,16 @@
     }
 }
 
+/// Repeats a write through an instance until it is acknowledged, up to 20 times.
+void writeUntilAcknowledged(VirtualPool &pool, std::size_t instance)
+{
+    CallerReply reply{.error = OutcomeError{}};
+    for (int attempt = 0; attempt < 20 && reply.error; ++attempt) {
+        const auto caller = *pool.openCaller(instance, VirtualPool::primaryRoute);
+        reply = runStatement(pool, caller, StatementKind::Write, "x" + std::to_string(attempt), "WRITE 1 x");
+    }
+}
+
 void expectIncreasingTokens(const VirtualPool &pool)
 {
     EXPECT_EQ(joined(pool.fencingViolations()), "");
@@ -266,11 +276,7 @@
 
     const TimePoint crash = pool.now();
     pool.stopServer(pool.group().isPrimary(1) ? 1 : 2);
-    CallerReply reply{.error = OutcomeError{}};
-    for (int attempt = 0; attempt < 20 && reply.error; ++attempt) {
-        const auto writer = *pool.openCaller(2, VirtualPool::primaryRoute);
-        reply = runStatement(pool, writer, StatementKind::Write, "x" + std::to_string(attempt), "WRITE 1 x");
-    }
+    writeUntilAcknowledged(pool, 2);
     EXPECT_LE(pool.now() - crash, replacementTarget);
     expectIncreasingTokens(pool);
 }
@@ -289,11 +295,7 @@
     pool.run(seconds(7));
     const TimePoint crash = pool.now();
     pool.stopServer(0);
-    CallerReply reply{.error = OutcomeError{}};
-    for (int attempt = 0; attempt < 20 && reply.error; ++attempt) {
-        const auto caller = *pool.openCaller(0, VirtualPool::primaryRoute);
-        reply = runStatement(pool, caller, StatementKind::Write, "w" + std::to_string(attempt), "WRITE 1 x");
-    }
+    writeUntilAcknowledged(pool, 0);
     EXPECT_LE(pool.now() - crash, replacementTarget);
     EXPECT_TRUE(pool.store().list("member.i3").objects.empty());
 }
@@ -324,12 +326,9 @@
         run.pool.startInstance(instance);
     const TimePoint restarted = run.pool.now();
     run.finish();
-    const auto &all = run.workload.operations();
-    const auto first = std::find_if(all.begin(), all.end(), [&](const PoolOperation &entry) {
-        return entry.acknowledged && entry.endedAt > restarted;
-    });
-    ASSERT_NE(first, all.end());
-    EXPECT_LE(first->endedAt - restarted, interruptedReplacementTarget);
+    const auto first = run.firstAcknowledgedAfter(restarted);
+    ASSERT_TRUE(first.has_value());
+    EXPECT_LE(*first, interruptedReplacementTarget);
     expectIncreasingTokens(run.pool);
 }
 
