--- /dev/null
+++ b/review/standin/types.cpp
@@ -0,0 +1,45 @@
+#include "types.h"
+
+#include <charconv>
+
+namespace Review {
+
+namespace {
+
+std::optional<std::uint64_t> toNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+std::string toText(Position position)
+{
+    return std::to_string(position.term) + '.' + std::to_string(position.number);
+}
+
+std::optional<Position> toPosition(std::string_view text)
+{
+    const std::size_t point = text.find('.');
+    if (point == std::string_view::npos)
+        return std::nullopt;
+    const auto term = toNumber(text.substr(0, point));
+    const auto number = toNumber(text.substr(point + 1));
+    if (!term || !number)
+        return std::nullopt;
+    return Position{.term = *term, .number = *number};
+}
+
+std::string takeWord(std::string_view &rest)
+{
+    const std::size_t blank = rest.find(' ');
+    const std::string_view word = rest.substr(0, blank);
+    rest = blank == std::string_view::npos ? std::string_view{} : rest.substr(blank + 1);
+    return std::string(word);
+}
+
+} // namespace Review
