--- a/review/standin/backendgroup.cpp
+++ b/review/standin/backendgroup.cpp
@@ -19,6 +19,8 @@
 constexpr std::array<const char *, 3> zones{"pos-central", "sando-main", "arima-town"};
 /// Three check-in intervals.
 constexpr Milliseconds entryExpiry{3600};
+/// A former primary goes on for a second after it can reach the new one.
+constexpr Milliseconds formerPrimaryStays{1000};
 constexpr std::uint64_t born = 1780000000000;
 
 } // namespace
@@ -74,6 +76,8 @@
     primary.log.push_back(Commit{.position = position, .id = statementId, .writes = std::move(writes)});
     primary.applied = primary.log.size();
     this->record.write(primary.id, "commits " + statementId + " at " + toText(position));
+    if (primary.term < this->newestTerm)
+        this->commitsAfterPromote.push_back(statementId);
     auto acknowledged = std::make_shared<bool>(!this->backendOptions.waitsForReplica);
     if (*acknowledged)
         acknowledge();
@@ -112,6 +116,8 @@
     const auto header = [&](const char *name) { return call.headers.contains(name) ? call.headers.at(name) : ""; };
     this->record.write("platform",
                        "promote " + id + " by " + header("duty-holder") + " fence " + header("fencing-token"));
+    if (this->promoteReceived)
+        this->promoteReceived(header("duty-holder"));
     const auto found = std::find_if(this->backends.begin(), this->backends.end(),
                                     [&](const auto &backend) { return backend->id == id && backend->running; });
     if (found == this->backends.end()) {
@@ -123,14 +129,29 @@
     respond({.body = "{}"});
 }
 
+void BackendGroup::follow(Backend &former, Backend &leader)
+{
+    if (former.term >= leader.term)
+        return;
+    former.primary = false;
+    former.term = leader.term;
+    const std::size_t common = std::min(former.log.size(), leader.log.size());
+    std::size_t kept = 0;
+    while (kept < common && former.log[kept].id == leader.log[kept].id)
+        kept += 1;
+    former.log.resize(kept);
+    former.applied = std::min(former.applied, kept);
+    this->report(former);
+    this->later(this->backendOptions.shipping, [this, &former, &leader] { this->ship(leader, former); });
+}
+
 void BackendGroup::lead(Backend &backend)
 {
     if (!backend.running || backend.primary)
         return;
-    std::uint64_t term = 0;
-    for (const auto &other : this->backends)
-        term = std::max(term, other->term);
-    backend.term = term + 1;
+    this->newestTerm += 1;
+    this->promotionCount += 1;
+    backend.term = this->newestTerm;
     backend.primary = true;
     backend.applied = backend.log.size();
     this->record.write("platform", backend.id + " leads term " + std::to_string(backend.term) + " with "
@@ -138,12 +159,10 @@
     for (const auto &other : this->backends) {
         if (other.get() == &backend || !other->running)
             continue;
-        // What the new primary lacks is rolled back.
-        other->primary = false;
-        other->log.resize(std::min(other->log.size(), backend.log.size()));
-        other->applied = std::min(other->applied, other->log.size());
-        this->report(*other);
-        this->later(this->backendOptions.shipping, [this, &backend, &other] { this->ship(backend, *other); });
+        if (other->primary)
+            this->later(formerPrimaryStays, [this, &backend, &other] { this->follow(*other, backend); });
+        else
+            this->follow(*other, backend);
     }
     this->report(backend);
     if (this->promoted)
--- a/review/standin/backendgroup.h
+++ b/review/standin/backendgroup.h
@@ -6,6 +6,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,12 +38,20 @@
     /// POST /promote
     void promote(const HttpCall &call, const HttpServer::Respond &respond);
 
-    std::function<void(const Backend &backend)> promoted; ///< a promote has taken effect
+    std::function<void(const Backend &backend)> promoted;           ///< a promote has taken effect
+    std::function<void(const std::string &holder)> promoteReceived; ///< a call to promote has arrived
+
+    /// Commits that were made at a backend after a promote of another one had taken effect.
+    [[nodiscard]] const std::vector<std::string> &lateCommits() const { return this->commitsAfterPromote; }
+    /// Number of promotes that have taken effect.
+    [[nodiscard]] std::size_t promotions() const { return this->promotionCount; }
 
 private:
     void lead(Backend &backend);
     /// The replica receives what it lacks, and applies it later.
     void ship(Backend &primary, Backend &replica);
+    /// A former primary learns of the new one: what the new one lacks is rolled back.
+    void follow(Backend &former, Backend &leader);
     void later(Milliseconds delay, std::function<void()> action);
 
     asio::io_context &loop;
@@ -49,6 +59,9 @@
     RecordFile &record;
     BackendOptions backendOptions;
     std::vector<std::unique_ptr<Backend>> backends;
+    std::uint64_t newestTerm = 1;
+    std::size_t promotionCount = 0;
+    std::vector<std::string> commitsAfterPromote;
 };
 
 } // namespace Review
--- a/review/standin/site.sh
+++ b/review/standin/site.sh
@@ -54,8 +54,8 @@
 MachineClass: "front"
 Serves: ["front"]
 Ip: "127.0.0.1"
-Zone: "${zones[$1]}"
-Region: "${regions[$1]}"
+Zone: "${zones[$(($1 % 3))]}"
+Region: "${regions[$(($1 % 3))]}"
 Zones: { pos-central: "north", sando-main: "south", arima-town: "east" }
 Listen: { Front: "127.0.0.1:${port[0]}", ReadyAddr: "127.0.0.1:${port[1]}", ControlAddr: "127.0.0.1:${port[2]}" }
 PortRange: [${port[3]}, ${port[3]}]
--- a/review/standin/traffic.cpp
+++ b/review/standin/traffic.cpp
@@ -23,7 +23,7 @@
         session->number = number;
         session->entry = number % this->site.entryCount();
         const std::size_t kind = (number / this->site.entryCount()) % routeShare;
-        session->database = kind == 0 ? "filings" : kind == 1 ? "lookups" : "ledger";
+        session->database = this->options.primaryOnly || kind == 0 ? "filings" : kind == 1 ? "lookups" : "ledger";
         session->operations = number;
         const auto offset =
             this->options.pause * static_cast<std::int64_t>(number) / static_cast<std::int64_t>(this->options.sessions);
@@ -68,7 +68,8 @@
     const std::uint64_t share = session->database == "filings"  ? filingWriteShare
                                 : session->database == "ledger" ? ledgerWriteShare
                                                                 : 0;
-    const bool writes = share != 0 && session->operations % share == 0;
+    const bool sharedWrite = share != 0 && session->operations % share == 0;
+    const bool writes = this->options.primaryOnly ? !sharedWrite : sharedWrite;
     const std::string id = this->site.nextStatementId();
     const std::string item = (session->database == "lookups" ? "l" : "i") + std::to_string(session->number);
     this->sent += 1;
--- a/review/standin/traffic.h
+++ b/review/standin/traffic.h
@@ -19,6 +19,7 @@
 {
     std::size_t sessions = 120; ///< spread over the entry instances
     Milliseconds pause{640};    ///< of a session between two operations
+    bool primaryOnly = false;   ///< all sessions use the route "filings", and most operations are writes
 };
 
 /// Requesters in the shares of the sheet of a small site: each session repeats reads, and writes where its route has
