--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -24,8 +24,8 @@
     [ -n "$holder" ] || cannot_run "nothing was promoted"
     kill -KILL "${entry_pid[$holder]}"
     wait "${entry_pid[$holder]}" 2>/dev/null
-    tell "killed-$holder"
     sleep 1
+    tell killed
     start_entry "$holder" false
 fi
 end_with_verdict
--- a/review/1/twoprimaries.cpp
+++ b/review/1/twoprimaries.cpp
@@ -11,9 +11,10 @@
 
 // Times since the start of traffic.
 constexpr Milliseconds crashAt{4000};
-constexpr Milliseconds end{26000};
-/// Work of a statement on the route "filings".
-constexpr Milliseconds work{120};
+constexpr Milliseconds end{22000};
+// Times since the killed holder starts again.
+constexpr Milliseconds cutAt{5500};
+constexpr Milliseconds cutFor{5000};
 
 void check(SmallSite &site, const Traffic &traffic)
 {
@@ -35,16 +36,19 @@
 
 int main(int argumentCount, char **arguments)
 {
-    SmallSiteOptions options = siteOptions(argumentCount, arguments);
-    options.backends.readWork = work;
-    options.backends.writeWork = work;
-    SmallSite site(std::move(options));
-    Traffic traffic(site, TrafficOptions{.sessions = 72, .pause = Milliseconds(400), .primaryOnly = true});
+    SmallSite site(siteOptions(argumentCount, arguments));
+    Traffic traffic(site, TrafficOptions{.sessions = 96, .pause = Milliseconds(640), .primaryOnly = true});
     // The script kills the first holder.
     site.group().promoteReceived = [](const std::string &holder) { std::cout << "holder " << holder << std::endl; };
     site.control = [&](const std::string &name) {
-        if (name != "start")
+        if (name == "killed") {
+            // Only the killed instance opens connections from now on; it is cut off from the new primary for a while.
+            Backend &primary = site.group().at(1).primary ? site.group().at(1) : site.group().at(2);
+            primary.watchNewcomer();
+            site.later(cutAt, [&] { primary.cutOff(true); });
+            site.later(cutAt + cutFor, [&] { primary.cutOff(false); });
             return;
+        }
         traffic.start();
         site.later(end, [&] { check(site, traffic); });
         if (site.hasTrouble())
--- a/review/standin/backend.cpp
+++ b/review/standin/backend.cpp
@@ -12,16 +12,12 @@
 
 Backend::Backend(asio::io_context &eventLoop, BackendGroup &backendGroup, RecordFile &recordFile, std::string backendId)
     : id(std::move(backendId)), loop(eventLoop), group(backendGroup), record(recordFile),
-      acceptor(eventLoop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+      acceptor(eventLoop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      listenAddress("127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()))
 {
     this->accept();
 }
 
-std::string Backend::address() const
-{
-    return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
-}
-
 void Backend::crash()
 {
     this->running = false;
@@ -33,6 +29,20 @@
     this->queue.clear();
 }
 
+void Backend::cutOff(bool cut)
+{
+    this->isCutOff = cut;
+    for (const ConnectionPointer &connection : this->newcomers) {
+        if (cut)
+            connection->lines->cutOff();
+        else
+            connection->lines->close();
+        if (!cut)
+            this->connections.erase(connection);
+    }
+    this->newcomers.clear();
+}
+
 void Backend::accept()
 {
     this->acceptor.async_accept([this](const asio::error_code &failure, asio::ip::tcp::socket socket) {
@@ -41,6 +51,9 @@
         auto connection = std::make_shared<Connection>();
         connection->lines = std::make_shared<LineConnection>(std::move(socket));
         this->connections.insert(connection);
+        this->newcomers.push_back(connection);
+        if (this->isCutOff)
+            connection->lines->cutOff();
         connection->lines->start({.line =
                                       [this, connection](std::string_view line) {
                                           connection->waiting.emplace_back(line);
@@ -218,6 +231,8 @@
     };
     if (writes.empty())
         acknowledge();
+    else if (!this->primary)
+        this->refuse(connection, "READONLY");
     else
         this->group.commit(*this, statementId, std::move(writes), acknowledge);
 }
--- a/review/standin/backend.h
+++ b/review/standin/backend.h
@@ -31,10 +31,15 @@
     Backend(const Backend &) = delete;
     Backend &operator=(const Backend &) = delete;
 
-    [[nodiscard]] std::string address() const;
+    [[nodiscard]] const std::string &address() const { return this->listenAddress; }
     /// The process ends: all connections are closed and nothing listens any more.
     void crash();
 
+    /// Partitions the backend from the machine that has opened all connections since now; see cutOff().
+    void watchNewcomer() { this->newcomers.clear(); }
+    /// The connections since watchNewcomer(), and new ones while \a cut is set, get no answer.
+    void cutOff(bool cut);
+
     std::string id;
     bool running = true;
     bool primary = false;
@@ -82,7 +87,10 @@
     BackendGroup &group;
     RecordFile &record;
     asio::ip::tcp::acceptor acceptor;
+    std::string listenAddress;
     std::set<ConnectionPointer> connections;
+    std::vector<ConnectionPointer> newcomers;
+    bool isCutOff = false;
     std::size_t busy = 0;
     std::deque<std::function<void()>> queue;
 };
--- a/review/standin/backendgroup.cpp
+++ b/review/standin/backendgroup.cpp
@@ -97,7 +97,8 @@
 
 void BackendGroup::ship(Backend &primary, Backend &replica)
 {
-    if (!primary.running || !primary.primary || !replica.running || !replica.receives || replica.term > primary.term)
+    if (!primary.running || !primary.primary || !replica.running || !replica.receives || replica.primary
+        || replica.term > primary.term)
         return;
     replica.term = primary.term;
     for (std::size_t index = replica.log.size(); index < primary.log.size(); ++index)
@@ -131,7 +132,7 @@
 
 void BackendGroup::follow(Backend &former, Backend &leader)
 {
-    if (former.term >= leader.term)
+    if (!former.running || former.term >= leader.term)
         return;
     former.primary = false;
     former.term = leader.term;
--- a/review/standin/lineconnection.cpp
+++ b/review/standin/lineconnection.cpp
@@ -34,7 +34,7 @@
 
 void LineConnection::send(std::string_view line)
 {
-    if (this->isClosed)
+    if (this->isClosed || this->isCutOff)
         return;
     this->pending.append(line).append("\r\n");
     if (this->writing.empty())
@@ -68,7 +68,8 @@
              at = self->received.find("\r\n", from)) {
             const std::string line = self->received.substr(from, at - from);
             from = at + 2;
-            self->callbacks.line(line);
+            if (!self->isCutOff)
+                self->callbacks.line(line);
         }
         self->received.erase(0, from);
         if (!self->isClosed)
--- a/review/standin/lineconnection.h
+++ b/review/standin/lineconnection.h
@@ -27,6 +27,8 @@
     /// Sends a line; the line end is added.
     void send(std::string_view line);
     void close();
+    /// Nothing arrives any more, in either direction, and the peer is not told.
+    void cutOff() { this->isCutOff = true; }
 
 private:
     void read();
@@ -40,6 +42,7 @@
     std::string pending;
     std::string writing;
     bool isClosed = false;
+    bool isCutOff = false;
 };
 
 } // namespace Review
--- a/review/standin/smallsite.cpp
+++ b/review/standin/smallsite.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <iostream>
+#include <random>
 #include <utility>
 
 namespace Review {
@@ -16,6 +17,8 @@
 constexpr Milliseconds longestRun{110000};
 /// Ports that one entry instance listens on.
 constexpr std::size_t portsOfEntry = 4;
+constexpr std::uint32_t firstPort = 20000;
+constexpr std::uint32_t portCount = 10000;
 
 Json route(const char *host, const char *kind, const std::string &service, int timeoutMs, int stalenessMs)
 {
@@ -48,10 +51,13 @@
 
 void SmallSite::handle(const HttpCall &call, const HttpServer::Respond &respond)
 {
+    const auto delayed = [this, respond](const HttpReply &reply) {
+        this->later(this->options.platformDelay, [respond, reply] { respond(reply); });
+    };
     if (call.path == "/promote") {
-        this->backends->promote(call, respond);
+        this->backends->promote(call, delayed);
     } else if (call.path.starts_with("/api/objects/")) {
-        this->store.handle(call, respond);
+        this->store.handle(call, delayed);
     } else if (call.path.starts_with(controlPath)) {
         respond({.body = "{}"});
         const std::string name = call.path.substr(controlPath.size());
@@ -83,14 +89,28 @@
 void SmallSite::announceAddresses()
 {
     std::cout << "store " << this->server->address() << '\n';
+    // Ports below those that the system takes for outgoing connections.
     std::vector<asio::ip::tcp::acceptor> reserved;
+    std::random_device random;
+    const auto reserve = [&] {
+        while (true) {
+            const auto port = static_cast<std::uint16_t>(firstPort + random() % portCount);
+            asio::ip::tcp::acceptor acceptor(this->loop, asio::ip::tcp::v4());
+            asio::error_code failure;
+            acceptor.bind({asio::ip::address_v4::loopback(), port}, failure);
+            if (failure)
+                continue;
+            reserved.push_back(std::move(acceptor));
+            return port;
+        }
+    };
     for (std::size_t entry = 0; entry < this->options.entries; ++entry) {
         std::cout << "entry";
-        for (std::size_t port = 0; port < portsOfEntry; ++port) {
-            reserved.emplace_back(this->loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-            if (port == 0)
-                this->fronts.push_back(reserved.back().local_endpoint());
-            std::cout << ' ' << reserved.back().local_endpoint().port();
+        for (std::size_t index = 0; index < portsOfEntry; ++index) {
+            const std::uint16_t port = reserve();
+            if (index == 0)
+                this->fronts.emplace_back(asio::ip::address_v4::loopback(), port);
+            std::cout << ' ' << port;
         }
         std::cout << '\n';
     }
--- a/review/standin/smallsite.h
+++ b/review/standin/smallsite.h
@@ -23,6 +23,8 @@
     std::string recordFile;
     bool trouble = true;
     std::size_t entries = 3; ///< entry instances that the script starts
+    /// The sheet's 4 ms an answer of the store, and 8 ms each way between areas.
+    Milliseconds platformDelay{20};
     BackendOptions backends;
 };
 
