--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,6 +3,7 @@
 # Exit code: 1 if a write is acknowledged that an old primary committed after a promote took effect, 0 if none, 2 if not
 # run.
 set -uo pipefail
+export TROUBLE=${TROUBLE:-1} # 0: the same without the disruption
 here=$(cd "$(dirname "$0")" && pwd)
 name=twoprimaries
 # shellcheck source=review/standin/site.sh
--- a/review/1/twoprimaries.cpp
+++ b/review/1/twoprimaries.cpp
@@ -1,5 +1,5 @@
-#include "smallsite.h"
-#include "traffic.h"
+#include "../standin/smallsite.h"
+#include "../standin/traffic.h"
 
 #include <algorithm>
 #include <iostream>
--- a/review/2/foreignshape.cpp
+++ b/review/2/foreignshape.cpp
@@ -1,5 +1,5 @@
-#include "smallsite.h"
-#include "types.h"
+#include "../standin/smallsite.h"
+#include "../standin/types.h"
 
 #include <algorithm>
 #include <memory>
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,6 +2,7 @@
 # Case 3. A replica receives nothing for a while and the primary crashes meanwhile, in a service with SyncReplicas 1.
 # Exit code: 1 if an acknowledged write is not in the log of the backend that was promoted, 0 if all are, 2 if not run.
 set -uo pipefail
+export TROUBLE=${TROUBLE:-1} # 0: the same without the disruption
 here=$(cd "$(dirname "$0")" && pwd)
 name=promotionbehind
 # shellcheck source=review/standin/site.sh
--- a/review/standin/backend.cpp
+++ b/review/standin/backend.cpp
@@ -116,14 +116,15 @@
         this->record.write(this->id, "gets " + statementId + ' ' + std::string(text));
     }
     const bool open = connection->state != 'I';
+    // After an error the transaction can only be ended.
+    if (connection->state == 'E' && verb != "ROLLBACK")
+        verb.clear();
     if (verb == "BEGIN" && !open) {
         this->begin(connection, rest, after);
     } else if (verb == "ROLLBACK" && open) {
         connection->state = 'I';
         connection->writes.clear();
         this->answer(connection, "-");
-    } else if (connection->state == 'E') {
-        this->refuse(connection, "MALFORMED");
     } else if (verb == "SET" || (verb == "RESET" && !open)) {
         if (verb == "RESET")
             connection->prepared.clear();
--- a/review/standin/site.sh
+++ b/review/standin/site.sh
@@ -2,7 +2,7 @@
 # the deploy file, and end them. Sourced by run.sh, which sets `here` and `name`.
 
 top=$(cd "$here/../.." && pwd)
-trouble=${TROUBLE:-1}
+trouble=$TROUBLE
 work=$(mktemp -d)
 pids=()
 
