--- a/review/1/twoprimaries.cpp
+++ b/review/1/twoprimaries.cpp
@@ -37,7 +37,7 @@
 int main(int argumentCount, char **arguments)
 {
     SmallSite site(siteOptions(argumentCount, arguments));
-    Traffic traffic(site, TrafficOptions{.primaryOnly = true});
+    Traffic traffic(site, TrafficOptions{.sessions = 200, .primaryOnly = true});
     // The script kills the first holder.
     site.group().promoteReceived = [](const std::string &holder) { std::cout << "holder " << holder << std::endl; };
     site.control = [&](const std::string &name) {
