--- a/src/leadership/leadershiprecord.cpp
+++ b/src/leadership/leadershiprecord.cpp
@@ -11,16 +11,16 @@
 bool LeadershipRecord::isLaterThan(const LeadershipRecord &other) const
 {
     const auto progress = [](const LeadershipRecord &record) {
-        return std::tuple(record.epoch, !record.changing, !record.candidate.empty());
+        return std::tuple(record.epoch, !record.changing, record.declared);
     };
     return progress(*this) > progress(other);
 }
 
 std::string LeadershipRecord::toText() const
 {
-    return nlohmann::json{{"epoch", this->epoch},         {"term", this->term},          {"primary", this->primary},
-                          {"changing", this->changing},   {"planned", this->planned},    {"holder", this->holder},
-                          {"candidate", this->candidate}, {"termAbove", this->termAbove}}
+    return nlohmann::json{{"epoch", this->epoch},         {"term", this->term},         {"primary", this->primary},
+                          {"changing", this->changing},   {"planned", this->planned},   {"holder", this->holder},
+                          {"candidate", this->candidate}, {"declared", this->declared}, {"termAbove", this->termAbove}}
         .dump();
 }
 
@@ -31,12 +31,15 @@
         return std::nullopt;
     try {
         const nlohmann::json &root = *parsed;
+        const auto candidate = root.at("candidate").get<std::string>();
         return LeadershipRecord{.epoch = root.at("epoch").get<std::uint64_t>(),
                                 .term = root.at("term").get<std::uint64_t>(),
                                 .primary = root.at("primary").get<std::string>(),
                                 .changing = root.at("changing").get<bool>(),
                                 .planned = root.at("planned").get<bool>(),
-                                .candidate = root.at("candidate").get<std::string>(),
+                                .candidate = candidate,
+                                // Earlier versions do not write it; there each candidate may be in use.
+                                .declared = root.value("declared", !candidate.empty()),
                                 .termAbove = root.at("termAbove").get<std::uint64_t>(),
                                 .holder = root.at("holder").get<std::string>()};
     } catch (const nlohmann::json::exception &) {
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -80,6 +80,8 @@
     ServiceRow &service = this->world.services.at(id);
     const LeadershipRecord &record = stored.record;
     if (record.changing) {
+        if (service.epoch == record.epoch)
+            this->checkCandidate(id, record);
         if (service.epoch >= record.epoch)
             return;
         service.epoch = record.epoch;
@@ -110,6 +112,26 @@
     this->setPrimary(id, record.primary, record.epoch, record.term);
 }
 
+void LeadershipSystem::checkCandidate(ServiceId id, const LeadershipRecord &record)
+{
+    // An epoch has one candidate. If the record names another one than this instance has adopted, the holder runs a
+    // version that chooses again within an epoch, or the store has lost the declaration.
+    ServiceRow &service = this->world.services.at(id);
+    if (service.changing || !record.declared || record.candidate == service.primaryId)
+        return;
+    this->world.log(LogLevel::Error, "candidate-contradicted",
+                    {{"service", service.name},
+                     {"adopted", service.primaryId},
+                     {"declared", record.candidate},
+                     {"epoch", std::to_string(record.epoch)},
+                     {"holder", record.holder}});
+    this->world.counters.add("jujubekeel_pool_candidates_contradicted_total");
+    service.changing = true;
+    service.planned = false;
+    service.changingSince = this->world.now;
+    this->release(id);
+}
+
 void LeadershipSystem::discardLeadership(ServiceId id)
 {
     const ServiceRow &service = this->world.services.at(id);
@@ -117,6 +139,8 @@
         LogLevel::Warning, "leadership-discarded",
         {{"service", service.name}, {"primary", service.primaryId}, {"epoch", std::to_string(service.epoch)}});
     this->setPrimary(id, {}, 0, 0);
+    // Epochs start again, and a release of a higher one must not be taken for a release of the next.
+    this->registration.clearReleased(service.name);
 }
 
 void LeadershipSystem::adoptCandidate(ServiceId id)
@@ -128,7 +152,7 @@
         return;
     const ServiceRow &service = this->world.services.at(id);
     const FleetView::Record *known = this->registration.fleet().record(service.name);
-    if (known == nullptr || known->record.epoch != service.epoch)
+    if (known == nullptr || known->record.epoch != service.epoch || !known->record.declared)
         return;
     const std::string &candidate = known->record.candidate;
     const auto server = this->world.serverById.find(candidate);
@@ -174,7 +198,9 @@
     service.leadershipVerifiedAt = TimePoint{0};
     this->suspicions.erase(service.name);
     this->drainingSince.erase(service.name);
-    this->registration.clear(service.name);
+    this->registration.setView(service.name, std::nullopt);
+    // A release of this epoch stays visible, so that a holder that resumes the replacement need not wait for it again.
+    this->registration.clearReleasedBefore(service.name, epoch);
 }
 
 void LeadershipSystem::releaseIfIdle(ServiceId id)
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -52,6 +52,8 @@
     /// Updates the service from the fleet view and from the directory.
     void refresh(ServiceId service);
     void adoptRecord(ServiceId service, const FleetView::Record &stored);
+    /// Stops using a primary that was adopted as the candidate of an epoch for which \a record names another one.
+    void checkCandidate(ServiceId service, const LeadershipRecord &record);
     void adoptReportedPrimary(ServiceId service);
     void adoptCandidate(ServiceId service);
     /// Discards a leadership that the store no longer knows, after it returned from an older copy and was recovered.
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -64,6 +64,12 @@
     this->written = MemberRecord{};
     this->writeCall = 0;
     this->ownRevision = 0;
+    // The store may have lost the declaration of a candidate that this instance uses, so that the holder may choose
+    // another one.
+    this->world.services.forEach([this](ServiceId, const ServiceRow &service) {
+        if (!service.changing)
+            this->desired.released.erase(service.name);
+    });
 }
 
 void RegistrationSystem::membersReported(const FleetUpdate &update)
@@ -325,10 +331,16 @@
     this->desired.released[service] = epoch;
 }
 
-void RegistrationSystem::clear(const std::string &service)
+void RegistrationSystem::clearReleased(const std::string &service)
 {
-    this->desired.views.erase(service);
     this->desired.released.erase(service);
 }
 
+void RegistrationSystem::clearReleasedBefore(const std::string &service, std::uint64_t epoch)
+{
+    const auto released = this->desired.released.find(service);
+    if (released != this->desired.released.end() && released->second < epoch)
+        this->desired.released.erase(released);
+}
+
 } // namespace Jujubekeel
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -44,7 +44,9 @@
     // State of primaries in the member object; written by the next publish().
     void setView(const std::string &service, std::optional<PrimaryView> primaryView);
     void setReleased(const std::string &service, std::uint64_t epoch);
-    void clear(const std::string &service);
+    void clearReleased(const std::string &service);
+    /// Clears a release of an epoch before \a epoch.
+    void clearReleasedBefore(const std::string &service, std::uint64_t epoch);
     [[nodiscard]] const MemberRecord &own() const { return this->desired; }
 
     [[nodiscard]] const FleetView &fleet() const { return this->view; }
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -79,7 +79,10 @@
                             .announcedAt = this->world.now,
                             .stepAt = this->world.now};
     this->world.log(LogLevel::Warning, "replacement-resumed",
-                    {{"service", this->world.services.at(id).name}, {"epoch", std::to_string(known.record.epoch)}});
+                    {{"service", this->world.services.at(id).name},
+                     {"epoch", std::to_string(known.record.epoch)},
+                     {"candidate", known.record.candidate},
+                     {"declared", known.record.declared ? "true" : "false"}});
     this->replacements.emplace(id, std::move(replacement));
     this->world.timers.add(this->world.now + this->options.stepInterval, TimerKind::Replacement);
 }
@@ -97,7 +100,7 @@
                                           .planned = planned,
                                           .holder = this->world.options.instance};
     if (known != nullptr && known->record.changing) {
-        // An earlier holder may have promoted its candidate already.
+        // An earlier holder may have promoted its candidate already. In this epoch another one may be chosen.
         replacement.record.candidate = known->record.candidate;
         replacement.record.termAbove = known->record.termAbove;
     }
@@ -188,8 +191,7 @@
             this->enter(replacement, Step::AwaitPromotion);
             break;
         case PromotionResult::NotRunning:
-            replacement.refused.insert(replacement.record.candidate);
-            this->enter(replacement, Step::Choose);
+            this->announceAgain(id, replacement);
             break;
         case PromotionResult::Unavailable:
             replacement.retryAt = this->world.now + this->options.callRetryDelay;
@@ -234,7 +236,8 @@
         if (this->registration.fleet().version() < replacement.announced || !this->allReleased(service, replacement))
             return true;
         this->evictSilentMembers(service, replacement);
-        this->enter(replacement, Step::Choose);
+        // A candidate that was declared before this instance resumed the replacement may be in use already.
+        this->enter(replacement, replacement.record.declared ? Step::Promote : Step::Choose);
         return true;
     case Step::Choose:
         if (this->choose(id, replacement)) {
@@ -257,12 +260,7 @@
             this->enter(replacement, Step::Record);
             this->writeResult(id, replacement);
         } else if (this->world.now - replacement.stepAt > this->options.promotionTimeout) {
-            // The candidate may still become primary, and other instances would accept it; choosing another server
-            // needs a new announcement.
-            replacement.refused.insert(replacement.record.candidate);
-            replacement.record.epoch += 1;
-            this->enter(replacement, Step::Announce);
-            this->writeRecord(id, replacement, replacement.record);
+            this->announceAgain(id, replacement);
         } else {
             this->requestStatus(replacement, replacement.record.candidate);
         }
@@ -275,6 +273,21 @@
     return true;
 }
 
+void ReplacementSystem::announceAgain(ServiceId id, Replacement &replacement)
+{
+    // The candidate may still become primary, and other instances would use it: an earlier promotion call whose answer
+    // was lost may have taken effect. They have to release it before another server is chosen.
+    this->world.log(LogLevel::Warning, "candidate-refused",
+                    {{"service", this->world.services.at(id).name},
+                     {"candidate", replacement.record.candidate},
+                     {"epoch", std::to_string(replacement.record.epoch)}});
+    replacement.refused.insert(replacement.record.candidate);
+    replacement.record.epoch += 1;
+    replacement.record.declared = false;
+    this->enter(replacement, Step::Announce);
+    this->writeRecord(id, replacement, replacement.record);
+}
+
 bool ReplacementSystem::allReleased(const ServiceRow &service, const Replacement &replacement) const
 {
     // An instance whose authority lease has expired accepts no results of the old primary any more.
@@ -294,6 +307,9 @@
             entry.second.version.era == fleet.version().era && !entry.second.record.isOutdated(fleet.version().era);
         if (!registered && earlierLeasesExpired)
             return true;
+        // It may use a candidate whose declaration the store has lost.
+        if (!registered && !replacement.record.declared)
+            return false;
         // An evicted instance may act on its old fleet view until its authority lease expires.
         if (entry.second.record.isEvicted())
             return this->world.now - entry.second.seenAt >= expiry;
@@ -412,6 +428,7 @@
             replacement.record.termAbove = std::max(replacement.record.termAbove, status.term);
     }
     replacement.record.candidate = best;
+    replacement.record.declared = true;
     this->world.log(LogLevel::Info, "candidate-chosen",
                     {{"service", service.name},
                      {"candidate", best},
@@ -475,6 +492,7 @@
     LeadershipRecord record = replacement.record;
     record.primary = record.candidate;
     record.candidate.clear();
+    record.declared = false;
     record.termAbove = 0;
     record.changing = false;
     record.planned = false;
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -24,7 +24,9 @@
 /// Replaces primaries when it is this instance's turn. Steps: announce the replacement in the record (a conditional
 /// write whose version gives the fencing token), wait until every registered instance has released the old primary,
 /// choose the server that has received most, declare it in the record, have it promoted, wait until it reports that it
-/// is primary, and record the result. Owned by PoolCore; used only within its calls.
+/// is primary, and record the result. Instances use a declared candidate before the result is recorded, so within an
+/// epoch there is only one: choosing another needs a new announcement, also after a restart of the holder. Owned by
+/// PoolCore; used only within its calls.
 class ReplacementSystem final
 {
 public:
@@ -74,6 +76,8 @@
     void begin(ServiceId service, bool planned);
     void resume(ServiceId service);
     void enter(Replacement &replacement, Step step);
+    /// The candidate could not take over: announces the replacement under a new epoch, to choose another one.
+    void announceAgain(ServiceId service, Replacement &replacement);
     /// Returns false if the replacement has ended.
     bool advanceOne(ServiceId service, Replacement &replacement);
     [[nodiscard]] bool isSuperseded(const ServiceRow &service, const Replacement &replacement) const;
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -201,7 +201,6 @@
 
 void VirtualPool::perform(std::size_t instance, PoolAction &action)
 {
-    const std::uint64_t boot = this->nodes[instance]->boot;
     const auto findCaller = [&](SessionId session) -> std::optional<CallerId> {
         const auto found = this->callerOf.find({instance, session.packed()});
         return found == this->callerOf.end() ? std::nullopt : std::optional(found->second);
@@ -254,25 +253,13 @@
         this->connectionOf.erase(found);
     } else if (auto *write = std::get_if<WriteFleetObject>(&action)) {
         this->writeStore(
-            instance, [this, change = *write] { return this->fleetStore.write(change); }, write->call);
+            instance, write->name, [this, change = *write] { return this->fleetStore.write(change); }, write->call);
     } else if (auto *removal = std::get_if<DeleteFleetObject>(&action)) {
         this->writeStore(
-            instance, [this, change = *removal] { return this->fleetStore.remove(change); }, removal->call);
+            instance, removal->name, [this, change = *removal] { return this->fleetStore.remove(change); },
+            removal->call);
     } else if (auto *promotion = std::get_if<PromoteServer>(&action)) {
-        this->events.add(this->events.now() + this->options.storeDelay, [this, instance, boot, call = *promotion] {
-            this->promotionCount += 1;
-            this->recordToken(call);
-            this->at(this->options.group.promotion + this->options.storeDelay, [this] { this->announceServers(); });
-            PromotionOutcome outcome{.call = call.call, .result = PromotionResult::NotRunning};
-            for (std::size_t server = 0; server < this->servers->size(); ++server) {
-                if (this->servers->id(server) == call.server && this->servers->promote(server))
-                    outcome.result = PromotionResult::Ok;
-            }
-            this->events.add(this->events.now() + this->options.storeDelay, [this, instance, boot, outcome] {
-                this->input(instance, boot,
-                            [this, outcome](PoolCore &core) { core.promotionFinished(this->events.now(), outcome); });
-            });
-        });
+        this->promote(instance, *promotion);
     } else if (auto *line = std::get_if<WriteLog>(&action)) {
         std::string text =
             "i" + std::to_string(instance) + " " + line->event + " at=" + std::to_string(this->events.now().count());
@@ -282,6 +269,39 @@
     }
 }
 
+bool VirtualPool::reportCall(std::size_t instance, const std::string &call, CallStage stage)
+{
+    if (this->onCall)
+        this->onCall(instance, call, stage);
+    return this->nodes[instance]->core != nullptr;
+}
+
+void VirtualPool::promote(std::size_t instance, const PromoteServer &call)
+{
+    if (!this->reportCall(instance, promotionCall, CallStage::Requested))
+        return;
+    const std::uint64_t boot = this->nodes[instance]->boot;
+    this->at(this->options.storeDelay, [this, instance, boot, call] {
+        this->promotionCount += 1;
+        this->recordToken(call);
+        this->at(this->options.group.promotion + this->options.storeDelay, [this] { this->announceServers(); });
+        PromotionOutcome outcome{.call = call.call, .result = PromotionResult::NotRunning};
+        for (std::size_t server = 0; server < this->servers->size(); ++server) {
+            if (this->servers->id(server) == call.server && this->servers->promote(server))
+                outcome.result = PromotionResult::Ok;
+        }
+        this->reportCall(instance, promotionCall, CallStage::Performed);
+        if (this->storeAnswersLost)
+            outcome.result = PromotionResult::Unavailable;
+        this->at(this->storeAnswersLost ? this->options.storeTimeout : this->options.storeDelay,
+                 [this, instance, boot, outcome] {
+                     this->input(instance, boot, [this, outcome](PoolCore &core) {
+                         core.promotionFinished(this->events.now(), outcome);
+                     });
+                 });
+    });
+}
+
 void VirtualPool::recordToken(const PromoteServer &call)
 {
     const bool sameHolder = call.holder == this->highestTokenHolder;
@@ -465,8 +485,11 @@
     });
 }
 
-void VirtualPool::writeStore(std::size_t instance, const std::function<WriteOutcome()> &work, std::uint64_t call)
+void VirtualPool::writeStore(std::size_t instance, const std::string &object, const std::function<WriteOutcome()> &work,
+                             std::uint64_t call)
 {
+    if (!this->reportCall(instance, object, CallStage::Requested))
+        return;
     const std::uint64_t boot = this->nodes[instance]->boot;
     const auto answer = [this, instance, boot](const WriteOutcome &outcome, Duration after) {
         this->events.add(this->events.now() + after, [this, instance, boot, outcome] {
@@ -478,8 +501,9 @@
         answer(WriteOutcome{.call = call}, this->options.storeTimeout);
         return;
     }
-    this->events.add(this->events.now() + this->options.storeDelay, [this, work, answer, call] {
+    this->events.add(this->events.now() + this->options.storeDelay, [this, instance, object, work, answer, call] {
         const WriteOutcome outcome = work();
+        this->reportCall(instance, object, CallStage::Performed);
         if (this->storeAnswersLost)
             answer(WriteOutcome{.call = call}, this->options.storeTimeout);
         else
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -59,6 +59,14 @@
 public:
     using CallerId = std::size_t;
     using OnReply = std::function<void(CallerId caller, const CallerReply &reply)>;
+    /// Stage of a call of an instance to the store or to the promotion API.
+    enum class CallStage : std::uint8_t {
+        Requested, ///< not sent yet; an instance that is killed now does not send it
+        Performed, ///< has taken effect; an instance that is killed now gets no answer
+    };
+    /// \a call is the name of the written object, or promotionCall.
+    using OnCall = std::function<void(std::size_t instance, const std::string &call, CallStage stage)>;
+    static constexpr const char *promotionCall = "promotion";
 
     explicit VirtualPool(VirtualPoolOptions poolOptions);
     ~VirtualPool();
@@ -78,6 +86,7 @@
     void closeCaller(CallerId caller);
     [[nodiscard]] const VirtualCaller &caller(CallerId id) const { return this->callers.at(id); }
     void setOnReply(OnReply handler) { this->onReply = std::move(handler); }
+    void setOnCall(OnCall handler) { this->onCall = std::move(handler); }
 
     // Faults.
     void killInstance(std::size_t instance);
@@ -95,7 +104,7 @@
     void stopServer(std::size_t server);
     void startServer(std::size_t server);
     void setDraining(std::size_t server);
-    /// Writes to the store take effect, but their answers are lost.
+    /// Writes to the store and promotion calls take effect, but their answers are lost.
     void setStoreAnswersLost(bool lost) { this->storeAnswersLost = lost; }
 
     [[nodiscard]] std::size_t instanceCount() const { return this->nodes.size(); }
@@ -163,7 +172,11 @@
     [[nodiscard]] bool continuesFleetWatch(std::size_t instance, std::uint64_t boot, std::uint64_t chain);
     /// Checks the fencing token of a promotion call.
     void recordToken(const PromoteServer &call);
-    void writeStore(std::size_t instance, const std::function<WriteOutcome()> &work, std::uint64_t call);
+    void writeStore(std::size_t instance, const std::string &object, const std::function<WriteOutcome()> &work,
+                    std::uint64_t call);
+    void promote(std::size_t instance, const PromoteServer &call);
+    /// Returns false if the instance was killed at this stage.
+    bool reportCall(std::size_t instance, const std::string &call, CallStage stage);
     void announceServers();
     void scheduleTick(std::size_t instance);
     [[nodiscard]] std::vector<ServerEntry> entries() const;
@@ -184,6 +197,7 @@
     std::vector<VirtualCaller> callers;
     std::map<std::pair<std::size_t, std::uint64_t>, CallerId> callerOf; ///< (instance, packed session)
     OnReply onReply;
+    OnCall onCall;
     std::vector<std::string> lines;
     std::uint64_t promotionCount = 0;
     std::uint64_t highestToken = 0; ///< of all promotion calls
--- a/tests/leadership/fleetviewtest.cpp
+++ b/tests/leadership/fleetviewtest.cpp
@@ -119,6 +119,30 @@
     EXPECT_EQ(view.member("i1")->record.incarnation, 5U);
 }
 
+// Guards against a declaration that is lost with a restored store: an announcement that names the candidate of an earlier
+// epoch was taken for one.
+TEST(LeadershipRecord, DeclarationIsLaterThanAnAnnouncementThatNamesACandidate)
+{
+    const LeadershipRecord announced{.epoch = 2, .changing = true, .candidate = "r"};
+    LeadershipRecord declared = announced;
+    declared.declared = true;
+    EXPECT_TRUE(declared.isLaterThan(announced));
+    EXPECT_FALSE(announced.isLaterThan(declared));
+}
+
+// Guards against a candidate of an instance of an earlier version, which does not write whether it declared it, being
+// replaced while it is in use.
+TEST(LeadershipRecord, CandidateOfAnEarlierVersionCountsAsDeclared)
+{
+    const std::string text = R"({"epoch":1,"term":1,"primary":"p","changing":true,"planned":false,"holder":"a",)";
+    const auto with = LeadershipRecord::fromText(text + R"("candidate":"r","termAbove":1})");
+    ASSERT_TRUE(with.has_value());
+    EXPECT_TRUE(with->declared);
+    const auto without = LeadershipRecord::fromText(text + R"("candidate":"","termAbove":0})");
+    ASSERT_TRUE(without.has_value());
+    EXPECT_FALSE(without->declared);
+}
+
 } // namespace
 
 } // namespace Jujubekeel
--- a/tests/pool/memberprotocoltest.cpp
+++ b/tests/pool/memberprotocoltest.cpp
@@ -276,8 +276,13 @@
 {
     OneMember member;
     member.connectAll([](const std::string &) { return true; });
-    const LeadershipRecord declared{
-        .epoch = 1, .primary = "p", .changing = true, .candidate = "r", .termAbove = 1, .holder = "b"};
+    const LeadershipRecord declared{.epoch = 1,
+                                    .primary = "p",
+                                    .changing = true,
+                                    .candidate = "r",
+                                    .declared = true,
+                                    .termAbove = 1,
+                                    .holder = "b"};
     member.readFleet({FleetObject{.name = FleetView::recordName("s"), .content = declared.toText()}}, false);
     member.core.entryChanged(member.now, OneMember::entry("r", true));
     ASSERT_EQ(member.service().primaryId, "r");
@@ -285,7 +290,9 @@
         member.advance(milliseconds(100));
         member.finishWrites();
     }
-    EXPECT_GT(member.count(CommandKind::Status), 0U);
+    const auto promotions = member.actionsOf<PromoteServer>();
+    ASSERT_EQ(promotions.size(), 1U);
+    EXPECT_EQ(promotions[0].server, "r");
 }
 
 // Guards against a server that is leaving getting new work again, because a store that returned from an older copy shows
@@ -338,8 +345,13 @@
 TEST(MemberProtocol, EntriesOfARestoredStoreDoNotNameTheSuccessorAtOnce)
 {
     OneMember member;
-    const LeadershipRecord declared{
-        .epoch = 1, .primary = "p", .changing = true, .candidate = "r", .termAbove = 1, .holder = "a"};
+    const LeadershipRecord declared{.epoch = 1,
+                                    .primary = "p",
+                                    .changing = true,
+                                    .candidate = "r",
+                                    .declared = true,
+                                    .termAbove = 1,
+                                    .holder = "a"};
     member.readFleet({FleetObject{.name = FleetView::recordName("s"), .content = declared.toText()}}, false);
     ASSERT_TRUE(member.service().changing);
     member.era = 1;
--- /dev/null
+++ b/tests/pool/replacementtest.cpp
@@ -0,0 +1,256 @@
+#include "pool/poolsupport.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Jujubekeel {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// What happens to the holder of a replacement at one of its calls for it.
+enum class HolderFault { Killed, KilledAndRestarted, AnswerLost };
+
+struct HolderFaultCase
+{
+    HolderFault fault = HolderFault::Killed;
+    std::size_t call = 0; ///< counts the writes of the leadership record and the promotion calls
+    VirtualPool::CallStage stage = VirtualPool::CallStage::Requested;
+    /// Server that the holder, and no other instance, loses from this moment on.
+    std::size_t hiddenServer = 0;
+    bool planned = false; ///< the primary leaves; otherwise it crashes
+
+    [[nodiscard]] std::string describe() const
+    {
+        return "fault " + std::to_string(static_cast<int>(this->fault)) + " at call " + std::to_string(this->call)
+               + " stage " + std::to_string(static_cast<int>(this->stage)) + ", hidden server "
+               + std::to_string(this->hiddenServer) + (this->planned ? ", planned" : "");
+    }
+};
+
+bool isReplacementCall(const std::string &call)
+{
+    return call == VirtualPool::promotionCall || call == FleetView::recordName("records");
+}
+
+const ServiceRow &serviceAt(const VirtualPool &pool, std::size_t instance)
+{
+    const PoolWorld &world = pool.core(instance)->state();
+    return world.services.at(world.serviceByName.at("records"));
+}
+
+/// The running instances use the same primary, which is one of the former replicas.
+void expectOnePrimaryInUse(const VirtualPool &pool)
+{
+    std::set<std::string> used;
+    for (std::size_t instance = 0; instance < pool.instanceCount(); ++instance) {
+        if (pool.core(instance) == nullptr)
+            continue;
+        const ServiceRow &service = serviceAt(pool, instance);
+        used.insert(service.changing ? "none, a replacement is in progress" : service.primaryId);
+    }
+    ASSERT_EQ(used.size(), 1U);
+    EXPECT_TRUE(*used.begin() == "records-1" || *used.begin() == "records-2") << *used.begin();
+}
+
+void promoteOutsideOfAReplacement(VirtualPool &pool, std::size_t server)
+{
+    ASSERT_TRUE(pool.group().promote(server));
+    pool.run(seconds(1));
+    // Announces the new roles.
+    pool.startServer(server);
+    pool.run(milliseconds(100));
+    ASSERT_TRUE(pool.group().isPrimary(server));
+}
+
+/// Replaces the primary under load while \a fault happens to the holder. Returns false if the replacement had fewer
+/// calls.
+bool replaceWithFault(const HolderFaultCase &fault)
+{
+    SCOPED_TRACE(fault.describe());
+    VirtualPoolOptions options{.instances = 4};
+    options.group.promotion = milliseconds(600);
+    LoadedPool run(1, options);
+    run.pool.run(seconds(1));
+    std::size_t calls = 0;
+    bool reached = false;
+    run.pool.setOnCall([&](std::size_t instance, const std::string &call, VirtualPool::CallStage stage) {
+        if (reached || !isReplacementCall(call) || stage != fault.stage || calls++ != fault.call)
+            return;
+        reached = true;
+        if (fault.hiddenServer != 0) {
+            run.pool.isolateInstanceFromServer(instance, fault.hiddenServer, true);
+            run.pool.at(seconds(6), [&run, instance, server = fault.hiddenServer] {
+                run.pool.isolateInstanceFromServer(instance, server, false);
+            });
+        }
+        if (fault.fault == HolderFault::AnswerLost) {
+            run.pool.setStoreAnswersLost(true);
+            run.pool.at(milliseconds(4), [&run] { run.pool.setStoreAnswersLost(false); });
+            return;
+        }
+        run.pool.killInstance(instance);
+        if (fault.fault == HolderFault::KilledAndRestarted)
+            run.pool.at(milliseconds(300), [&run, instance] { run.pool.startInstance(instance); });
+    });
+    if (fault.planned)
+        run.pool.setDraining(0);
+    else
+        run.pool.stopServer(0);
+    run.finish();
+    EXPECT_EQ(joined(run.pool.fencingViolations()), "");
+    EXPECT_EQ(run.pool.countLogs("candidate-contradicted"), 0U);
+    expectOnePrimaryInUse(run.pool);
+    return reached;
+}
+
+/// Kills the holder right after its promotion call, hides the promoted server from it and restarts it.
+struct RestartedHolder
+{
+    explicit RestartedHolder(std::uint64_t seed = 1)
+        : run(seed, [] {
+              VirtualPoolOptions options{.instances = 6};
+              options.group.promotion = milliseconds(600);
+              return options;
+          }())
+    {
+        this->run.pool.run(seconds(1));
+        this->run.pool.setOnCall([this](std::size_t instance, const std::string &call, VirtualPool::CallStage stage) {
+            if (this->killed || call != VirtualPool::promotionCall || stage != VirtualPool::CallStage::Performed)
+                return;
+            this->killed = true;
+            const std::string record = this->run.pool.store().list("leader.").objects.at(0).content;
+            this->candidate = LeadershipRecord::fromText(record)->candidate == "records-1" ? 1 : 2;
+            this->run.pool.killInstance(instance);
+            this->run.pool.isolateInstanceFromServer(instance, this->candidate, true);
+            this->run.pool.at(seconds(1), [this, instance] { this->run.pool.startInstance(instance); });
+            this->run.pool.at(seconds(11), [this, instance] {
+                this->run.pool.isolateInstanceFromServer(instance, this->candidate, false);
+            });
+        });
+        this->run.pool.stopServer(0);
+    }
+
+    LoadedPool run;
+    bool killed = false;
+    std::size_t candidate = 0; ///< that the holder promoted before it was killed
+};
+
+// Guards against two primaries in use at the same time: a holder that was killed after its promotion call chose another
+// candidate within the same epoch when it had restarted, while the other instances used the first one (review case 1).
+TEST(Replacement, RestartedHolderChoosesNoOtherCandidateWithinAnEpoch)
+{
+    RestartedHolder holder;
+    holder.run.finish();
+    ASSERT_TRUE(holder.killed);
+    EXPECT_EQ(holder.run.pool.countLogs("candidate-contradicted"), 0U);
+}
+
+// Guards against the eviction of members that use the promoted candidate already: after its restart the holder took
+// them for members that had not released the old primary.
+TEST(Replacement, RestartedHolderEvictsNoMemberThatHasReleasedThePrimary)
+{
+    RestartedHolder holder;
+    holder.run.pool.run(seconds(10));
+    ASSERT_TRUE(holder.killed);
+    EXPECT_EQ(holder.run.pool.countLogs("member-struck-off"), 0U);
+}
+
+// Guards against a second choice by a holder that does not know which of its calls took effect: at every call of a
+// replacement it is killed or does not get the answer, while a candidate that the others reach is hidden from it.
+TEST(Replacement, FaultOfTheHolderAtAnyCallLeavesOnePrimary)
+{
+    using Stage = VirtualPool::CallStage;
+    for (const HolderFault fault : {HolderFault::Killed, HolderFault::KilledAndRestarted, HolderFault::AnswerLost}) {
+        for (const Stage stage : {Stage::Requested, Stage::Performed}) {
+            for (const bool planned : {false, true}) {
+                for (std::size_t hidden = 0; hidden < 3; ++hidden) {
+                    std::size_t call = 0;
+                    while (replaceWithFault({fault, call, stage, hidden, planned}) && call < 8)
+                        call += 1;
+                    EXPECT_GE(call, 4U) << "announcement, declaration, promotion and result";
+                }
+            }
+        }
+    }
+}
+
+// Guards against another candidate within the epoch after the platform refused the declared one: an earlier call whose
+// answer was lost may have promoted it.
+TEST(Replacement, RefusedCandidateIsReplacedUnderANewEpoch)
+{
+    VirtualPoolOptions options{.instances = 4};
+    options.group.promotion = milliseconds(600);
+    LoadedPool run(1, options);
+    run.pool.run(seconds(1));
+    std::string declared;
+    run.pool.setOnCall([&](std::size_t, const std::string &call, VirtualPool::CallStage stage) {
+        if (!declared.empty() || call != VirtualPool::promotionCall || stage != VirtualPool::CallStage::Requested)
+            return;
+        declared = LeadershipRecord::fromText(run.pool.store().list("leader.").objects.at(0).content)->candidate;
+        run.pool.stopServer(declared == "records-1" ? 1 : 2);
+    });
+    run.pool.stopServer(0);
+    run.finish();
+    ASSERT_FALSE(declared.empty());
+    EXPECT_EQ(run.pool.countLogs("candidate-refused"), 1U);
+    const auto record = LeadershipRecord::fromText(run.pool.store().list("leader.").objects.at(0).content);
+    ASSERT_TRUE(record.has_value());
+    EXPECT_NE(record->primary, declared);
+    EXPECT_EQ(record->epoch, 2U);
+}
+
+// Guards against the use of a candidate of an earlier epoch: after a new announcement the holder may choose another.
+TEST(Replacement, CandidateOfAnEarlierEpochIsNotUsed)
+{
+    VirtualPool pool({});
+    pool.run(seconds(2));
+    // The holder does not exist, so nothing continues this replacement for 7.5 s.
+    const LeadershipRecord record{.epoch = 1,
+                                  .primary = "records-0",
+                                  .changing = true,
+                                  .candidate = "records-1",
+                                  .declared = false,
+                                  .termAbove = 1,
+                                  .holder = "other"};
+    static_cast<void>(pool.store().write(
+        {.name = FleetView::recordName("records"), .expectedRevision = 0, .content = record.toText()}));
+    pool.run(milliseconds(300));
+    promoteOutsideOfAReplacement(pool, 1);
+    EXPECT_NE(serviceAt(pool, 0).primaryId, "records-1");
+    EXPECT_TRUE(serviceAt(pool, 0).changing);
+}
+
+// Guards against an instance that keeps using the first of two candidates of one epoch, as declared by a holder of an
+// earlier version.
+TEST(Replacement, InstanceReleasesACandidateThatTheRecordContradicts)
+{
+    VirtualPool pool({});
+    pool.run(seconds(2));
+    LeadershipRecord record{.epoch = 1,
+                            .primary = "records-0",
+                            .changing = true,
+                            .candidate = "records-1",
+                            .declared = true,
+                            .termAbove = 1,
+                            .holder = "other"};
+    const std::string name = FleetView::recordName("records");
+    WriteOutcome written = pool.store().write({.name = name, .expectedRevision = 0, .content = record.toText()});
+    pool.run(milliseconds(300));
+    promoteOutsideOfAReplacement(pool, 1);
+    ASSERT_EQ(serviceAt(pool, 0).primaryId, "records-1");
+    record.candidate = "records-2";
+    written = pool.store().write({.name = name, .expectedRevision = written.revision, .content = record.toText()});
+    ASSERT_EQ(written.result, WriteResult::Ok);
+    pool.run(milliseconds(300));
+    EXPECT_EQ(pool.countLogs("candidate-contradicted"), 3U);
+    EXPECT_TRUE(serviceAt(pool, 0).changing);
+    EXPECT_TRUE(serviceAt(pool, 0).released);
+}
+
+} // namespace
+
+} // namespace Jujubekeel
