--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -32,12 +32,6 @@
     return kind == StatementKind::Commit || kind == StatementKind::Rollback;
 }
 
-std::string preparedName(const PreparedStatement &statement)
-{
-    // The name follows from the content, so that sessions share the statements that are prepared on a link.
-    return (statement.writes ? "w_" : "r_") + statement.text;
-}
-
 } // namespace
 
 DispatchSystem::DispatchSystem(PoolWorld &poolWorld, LinkSystem &linkSystem, Finish finishWork)
@@ -230,7 +224,9 @@
         this->sendRelayedRoute(session, linkId);
     const bool otherValues = std::any_of(link.values.begin(), link.values.end(),
                                          [&](const auto &value) { return !session.values.contains(value.first); });
-    if (otherValues) {
+    // Nothing else removes statements that no session uses any more.
+    const bool tooManyPrepared = link.prepared.textBytes() > this->world.options.preparedBytes && !link.inTransaction;
+    if (otherValues || tooManyPrepared) {
         assert(!link.inTransaction);
         this->links.send(linkId, ExchangeKind::Setup, ServerCommand{.kind = CommandKind::ResetSession});
         link.values.clear();
@@ -270,17 +266,16 @@
     ServerCommand command{.kind = CommandKind::Forward, .id = work.statement.id, .after = requiredPosition};
     if (work.statement.kind == StatementKind::Execute) {
         const PreparedStatement &prepared = session.prepared.find(work.statement.name)->second;
-        const std::string name = preparedName(prepared);
-        if (!link.prepared.contains(name)) {
+        command.kind = CommandKind::Execute;
+        command.name = link.prepared.find(prepared);
+        if (command.name.empty()) {
+            command.name = link.prepared.add(prepared);
             this->links.send(
-                linkId, ExchangeKind::Setup,
+                linkId, ExchangeKind::Prepare,
                 ServerCommand{.kind = prepared.writes ? CommandKind::PrepareWrite : CommandKind::PrepareRead,
-                              .name = name,
+                              .name = command.name,
                               .argument = prepared.text});
-            link.prepared.insert(name);
         }
-        command.kind = CommandKind::Execute;
-        command.name = name;
         command.argument = work.statement.argument;
     } else {
         command.argument = work.statement.text;
--- a/src/pool/linkrow.h
+++ b/src/pool/linkrow.h
@@ -3,13 +3,13 @@
 #include "core/time.h"
 #include "pool/poolids.h"
 #include "pool/poolmessages.h"
+#include "pool/preparednames.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -19,7 +19,8 @@
 
 enum class ExchangeKind : std::uint8_t {
     Open,
-    Setup, ///< route, values and prepared statements of the session that uses the link
+    Setup,   ///< route and values of the session that uses the link
+    Prepare, ///< of the statement that follows
     Begin,
     Statement,
     Rollback,
@@ -54,9 +55,9 @@
     std::deque<Exchange> exchanges;
     TimePoint deadline{0};                                  ///< for the response to the oldest exchange; 0: none
     std::map<std::string, std::string, std::less<>> values; ///< session values in force on the connection
-    std::set<std::string, std::less<>> prepared; ///< names under which statements are prepared on the connection
-    std::shared_ptr<const Route> relayedRoute;   ///< to a member: route that was last sent to it
-    LogPosition relayedMark;                     ///< and the session's mark that was sent with it
+    PreparedNames prepared;                                 ///< statements that are prepared on the connection
+    std::shared_ptr<const Route> relayedRoute;              ///< to a member: route that was last sent to it
+    LogPosition relayedMark;                                ///< and the session's mark that was sent with it
 
     [[nodiscard]] bool isFree() const { return this->open && !this->user.isValid() && this->exchanges.empty(); }
 };
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -61,7 +61,9 @@
     Duration stopNewWorkAfter = std::chrono::milliseconds(4300);      ///< new statements are refused
     Duration stopLimit = std::chrono::milliseconds(5300);             ///< the process ends even if work is in progress
 
-    std::size_t resultLimit = std::size_t{4} * 1024 * 1024; ///< bytes of one result
+    std::size_t resultLimit = std::size_t{4} * 1024 * 1024;         ///< bytes of one result
+    std::size_t preparedTextLimit = std::size_t{1024} * 1024 - 128; ///< bytes; a longer message could not be sent on
+    std::size_t preparedBytes = std::size_t{64} * 1024; ///< statements prepared on a link; with more it is reset
     std::size_t backlogLimit = 64; ///< statements that a caller may send before the reply to an earlier one
     std::size_t backlogBytes = std::size_t{2} * 1024 * 1024; ///< and their size together
 };
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -29,6 +29,15 @@
             this->linkLost(linkId, LinkEnd::Broken);
         }
         return;
+    case ExchangeKind::Prepare:
+        // The statement that follows is answered with UnknownName, which shows that it has not run.
+        if (completed.exchange.error) {
+            link.prepared.clear();
+            this->world.log(
+                LogLevel::Error, "prepare-refused",
+                {{"server", this->world.servers.at(link.server).entry.id}, {"reason", completed.exchange.error->text}});
+        }
+        return;
     case ExchangeKind::Begin:
         this->beginCompleted(linkId, completed);
         return;
@@ -204,8 +213,10 @@
         this->dispatch.finishWithError(id, OutcomeCode::InDoubt, error.text, SessionState::Idle);
         return;
     }
+    // The caller knows its prepared statements, and the server did not know one: that is not the caller's error.
+    const bool unprepared = error.code == OutcomeCode::UnknownName;
     const bool ran = error.code == OutcomeCode::Failed || error.code == OutcomeCode::Timeout;
-    this->dispatch.finishWithError(id, ran && !commit ? OutcomeCode::Aborted : error.code, error.text,
+    this->dispatch.finishWithError(id, (ran && !commit) || unprepared ? OutcomeCode::Aborted : error.code, error.text,
                                    commit ? SessionState::Idle : SessionState::Failed);
 }
 
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -153,6 +153,11 @@
                              || statement.kind == StatementKind::Subscribe;
     if (relayedOnly && !session.relayed)
         statement.kind = StatementKind::Malformed;
+    const bool isRenamed = statement.kind == StatementKind::Prepare || statement.kind == StatementKind::Execute;
+    if (isRenamed && statement.text.size() > this->world.options.preparedTextLimit) {
+        this->failInTransaction(id, OutcomeCode::TooLarge, "the statement is too long to be sent under another name");
+        return;
+    }
     switch (statement.kind) {
     case StatementKind::UseRoute:
         this->useRoute(id, statement);
--- a/src/virtualpool/statementgroup.cpp
+++ b/src/virtualpool/statementgroup.cpp
@@ -10,7 +10,18 @@
 
 bool startsWith(const ServerCommand &command, std::string_view word)
 {
-    return std::string_view(command.argument).starts_with(word);
+    return command.kind == CommandKind::Forward && std::string_view(command.argument).starts_with(word);
+}
+
+/// The fields of a line are separated by blanks, and the last one extends to its end.
+ServerCommand asReceived(ServerCommand command)
+{
+    const std::size_t blank = command.name.find(' ');
+    if (command.kind != CommandKind::Execute || blank == std::string::npos)
+        return command;
+    command.argument = command.name.substr(blank + 1) + ' ' + command.argument;
+    command.name.resize(blank);
+    return command;
 }
 
 } // namespace
@@ -61,7 +72,7 @@
     const auto found = this->connections.find(connection);
     if (found == this->connections.end())
         return;
-    found->second.commands.push_back(command);
+    found->second.commands.push_back(asReceived(command));
     if (found->second.commands.size() == 1)
         this->processNext(connection);
 }
@@ -120,8 +131,7 @@
         return;
     case CommandKind::PrepareRead:
     case CommandKind::PrepareWrite:
-        row.prepared[command.name] = command.kind == CommandKind::PrepareWrite;
-        this->answer(connection, "-", std::nullopt);
+        this->prepare(connection, command);
         return;
     case CommandKind::ResetSession:
         if (row.state != SessionState::Idle)
@@ -160,6 +170,21 @@
     }
 }
 
+void StatementGroup::prepare(std::uint64_t connection, const ServerCommand &command)
+{
+    Connection &row = this->connections.at(connection);
+    Server &server = this->servers[row.server];
+    const bool malformed = command.name.empty() || command.name.find(' ') != std::string::npos;
+    if (malformed || server.refusedPreparations > 0) {
+        server.refusedPreparations -= server.refusedPreparations > 0 ? 1 : 0;
+        this->refuse(connection, malformed ? OutcomeCode::Malformed : OutcomeCode::Overload);
+        return;
+    }
+    row.prepared[command.name] =
+        PreparedShape{.writes = command.kind == CommandKind::PrepareWrite, .shape = command.argument};
+    this->answer(connection, "-", std::nullopt);
+}
+
 void StatementGroup::greet(std::uint64_t connection, const ServerCommand &command)
 {
     const std::size_t server = this->connections.at(connection).server;
@@ -212,7 +237,7 @@
 {
     if (command.kind == CommandKind::Execute) {
         const auto found = connection.prepared.find(command.name);
-        return found != connection.prepared.end() && found->second;
+        return found != connection.prepared.end() && found->second.writes;
     }
     return startsWith(command, "WRITE");
 }
@@ -260,6 +285,11 @@
     Connection &row = this->connections.at(connection);
     const Server &server = this->servers[row.server];
     const bool commit = startsWith(command, "COMMIT");
+    if (command.kind == CommandKind::Execute) {
+        const PreparedShape &prepared = row.prepared.at(command.name);
+        this->record.executions.push_back(GroupHistory::Execution{
+            .id = command.id, .shape = prepared.shape, .parameters = command.argument, .writes = prepared.writes});
+    }
     if (commit) {
         if (!row.writes.empty()) {
             if (!server.primary) {
--- a/src/virtualpool/statementgroup.h
+++ b/src/virtualpool/statementgroup.h
@@ -59,8 +59,18 @@
         TimePoint at{0};
     };
 
+    /// One run of a prepared statement.
+    struct Execution
+    {
+        std::string id;
+        std::string shape;
+        std::string parameters;
+        bool writes = false;
+    };
+
     std::vector<Commit> commits;
     std::vector<Read> reads;
+    std::vector<Execution> executions;
     std::vector<Promotion> promotions;
     std::vector<std::string> misuse; ///< descriptions of commands that break the statement protocol
 };
@@ -95,6 +105,12 @@
     /// Drops the connection instead of answering after this share of the executed statements, in percent.
     void setLostAnswers(std::size_t server, std::uint32_t percent) { this->servers.at(server).lostAnswers = percent; }
 
+    /// Refuses the next commands that prepare a statement.
+    void setRefusedPreparations(std::size_t server, std::uint32_t count)
+    {
+        this->servers.at(server).refusedPreparations = count;
+    }
+
     [[nodiscard]] std::string id(std::size_t server) const;
     [[nodiscard]] std::size_t size() const { return this->servers.size(); }
     [[nodiscard]] bool isRunning(std::size_t server) const { return this->servers.at(server).running; }
@@ -112,6 +128,11 @@
         LogPosition position;
         TimePoint receivedAt{0};
     };
+    struct PreparedShape
+    {
+        bool writes = false;
+        std::string shape;
+    };
     struct Connection
     {
         std::size_t server = 0;
@@ -119,8 +140,8 @@
         bool readOnly = false;
         std::vector<std::string> writes; ///< ids of the writes in the open transaction
         std::map<std::string, std::string> values;
-        std::map<std::string, bool> prepared; ///< by name: whether the prepared statement writes
-        std::deque<ServerCommand> commands;   ///< pipelined commands; the first one is being executed
+        std::map<std::string, PreparedShape> prepared; ///< by name
+        std::deque<ServerCommand> commands;            ///< pipelined commands; the first one is being executed
     };
     struct Server
     {
@@ -134,7 +155,8 @@
         std::vector<Entry> log;
         std::size_t applied = 0; ///< number of applied log entries; a primary has applied all
         Duration applyLag{0};
-        std::uint32_t lostAnswers = 0; ///< percent
+        std::uint32_t lostAnswers = 0;         ///< percent
+        std::uint32_t refusedPreparations = 0; ///< number of commands still to be refused
         std::uint32_t busySlots = 0;
         std::deque<std::function<void()>> waiting; ///< jobs waiting for a slot
     };
@@ -142,6 +164,7 @@
     void processNext(std::uint64_t connection);
     void perform(std::uint64_t connection, const ServerCommand &command);
     void greet(std::uint64_t connection, const ServerCommand &command);
+    void prepare(std::uint64_t connection, const ServerCommand &command);
     void begin(std::uint64_t connection, const ServerCommand &command);
     void runStatement(std::uint64_t connection, const ServerCommand &command);
     void finishStatement(std::uint64_t connection, const ServerCommand &command, LogPosition appliedNow);
--- a/tests/platform/linecodectest.cpp
+++ b/tests/platform/linecodectest.cpp
@@ -33,6 +33,7 @@
     EXPECT_EQ(kind("ROLLBACK"), StatementKind::Rollback);
     EXPECT_EQ(kind("READ 1a4"), StatementKind::Read);
     EXPECT_EQ(kind("SET name value"), StatementKind::SetValue);
+    EXPECT_EQ(kind("SET name"), StatementKind::Malformed);
     EXPECT_EQ(kind("DEALLOC s1"), StatementKind::Deallocate);
     EXPECT_EQ(kind("BEGIN WRITE"), StatementKind::Malformed);
     EXPECT_EQ(kind("READ"), StatementKind::Malformed);
--- a/tests/pool/sessiontest.cpp
+++ b/tests/pool/sessiontest.cpp
@@ -1,5 +1,9 @@
 #include "pool/poolsupport.h"
 
+#include <rapidcheck.h>
+
+#include <algorithm>
+
 namespace Jujubekeel {
 
 namespace {
@@ -11,6 +15,33 @@
 {
     Session() : pool({}) { this->pool.run(seconds(2)); }
 
+    void prepare(VirtualPool::CallerId caller, const std::string &id, const std::string &name, bool writes,
+                 const std::string &shape)
+    {
+        const std::size_t before = this->pool.caller(caller).replies.size();
+        this->pool.send(caller, Statement{.kind = StatementKind::Prepare,
+                                          .id = id,
+                                          .text = "PREPARE " + name + (writes ? " WRITE " : " READ ") + shape,
+                                          .name = name,
+                                          .argument = shape,
+                                          .preparesWrite = writes});
+        for (int step = 0; step < 8000 && this->pool.caller(caller).replies.size() == before; ++step)
+            this->pool.run(milliseconds(1));
+    }
+    CallerReply execute(VirtualPool::CallerId caller, const std::string &id, const std::string &name,
+                        const std::string &parameters)
+    {
+        return runStatement(this->pool, caller, StatementKind::Execute, id, "EXECUTE " + name + ' ' + parameters, name,
+                            parameters);
+    }
+    /// The last run of the prepared statement \a id, or an empty one.
+    GroupHistory::Execution executionOf(const std::string &id)
+    {
+        const auto &all = this->pool.group().history().executions;
+        const auto found = std::find_if(all.rbegin(), all.rend(), [&](const auto &entry) { return entry.id == id; });
+        return found == all.rend() ? GroupHistory::Execution{} : *found;
+    }
+
     VirtualPool pool;
 };
 
@@ -55,6 +86,105 @@
     EXPECT_EQ(this->pool.group().history().commits.size(), commits + 1);
 }
 
+// Guards against a statement running the shape of another session: names on shared links were made from the shape, and a
+// blank in it moved the fields of the line (review case 2).
+TEST_F(Session, ShapeWithABlankRunsAsItWasPrepared)
+{
+    const auto first = *this->pool.openCaller(0, VirtualPool::ownRoute);
+    const auto second = *this->pool.openCaller(0, VirtualPool::ownRoute);
+    this->prepare(first, "a1", "s1", true, "fee");
+    this->prepare(second, "b1", "s1", true, "fee due");
+    for (int round = 0; round < 6; ++round) {
+        const std::string suffix = std::to_string(round);
+        EXPECT_FALSE(this->execute(first, "a-" + suffix, "s1", "stall-1 17").error.has_value());
+        EXPECT_FALSE(this->execute(second, "b-" + suffix, "s1", "stall-1 18").error.has_value());
+        EXPECT_EQ(this->executionOf("a-" + suffix).shape, "fee");
+        EXPECT_EQ(this->executionOf("b-" + suffix).shape, "fee due");
+        EXPECT_EQ(this->executionOf("b-" + suffix).parameters, "stall-1 18");
+    }
+    EXPECT_EQ(joined(this->pool.group().history().misuse), "");
+}
+
+// Guards against two shapes sharing a name on a link, whatever characters they consist of.
+TEST_F(Session, AnyShapeRunsAsItWasPrepared)
+{
+    std::size_t run = 0;
+    EXPECT_TRUE(rc::check([&] {
+        run += 1;
+        const auto shapes = *rc::gen::container<std::vector<std::pair<bool, std::string>>>(
+            4, rc::gen::pair(rc::gen::arbitrary<bool>(),
+                             rc::gen::container<std::string>(rc::gen::element(' ', 'a', 'b', '_', '"', '\\', '\t', '\0',
+                                                                              '\n', '\r', '%', '\xff'))));
+        std::vector<VirtualPool::CallerId> sessions;
+        for (std::size_t index = 0; index < shapes.size(); ++index) {
+            const std::string id = std::to_string(run) + "-" + std::to_string(index);
+            sessions.push_back(*this->pool.openCaller(0, VirtualPool::ownRoute));
+            this->prepare(sessions.back(), "p" + id, "s", shapes[index].first, shapes[index].second);
+            const CallerReply reply = this->execute(sessions.back(), "x" + id, "s", "item data");
+            RC_ASSERT(!reply.error.has_value());
+            RC_ASSERT(this->executionOf("x" + id).shape == shapes[index].second);
+            RC_ASSERT(this->executionOf("x" + id).writes == shapes[index].first);
+            RC_ASSERT(this->executionOf("x" + id).parameters == "item data");
+        }
+        for (const auto session : sessions)
+            this->pool.closeCaller(session);
+    }));
+    EXPECT_EQ(joined(this->pool.group().history().misuse), "");
+}
+
+// Guards against an EXECUTE that is sent before the answer to its PREPARE running anything if the server refuses that,
+// and against a write that has not run being reported as possibly run.
+TEST_F(Session, RefusedPreparationRunsNothingElse)
+{
+    const auto caller = *this->pool.openCaller(0, VirtualPool::ownRoute);
+    this->prepare(caller, "a1", "s", true, "q");
+    this->pool.group().setRefusedPreparations(0, 2);
+    const CallerReply reply = this->execute(caller, "a2", "s", "1 x");
+    EXPECT_FALSE(reply.error.has_value());
+    EXPECT_EQ(this->executionOf("a2").shape, "q");
+    EXPECT_EQ(this->pool.group().history().commits.size(), 1U);
+    EXPECT_EQ(this->pool.countLogs("prepare-refused"), 2U);
+}
+
+// Guards against a caller being told that a statement whose preparation was acknowledged is unknown, and against the
+// refused name being used again on the link.
+TEST_F(Session, RefusedPreparationInATransactionAbortsIt)
+{
+    const auto caller = *this->pool.openCaller(0, VirtualPool::ownRoute);
+    this->prepare(caller, "a1", "s", true, "q");
+    runStatement(this->pool, caller, StatementKind::Begin, "a2", "BEGIN");
+    this->pool.group().setRefusedPreparations(0, 1);
+    const CallerReply refused = this->execute(caller, "a3", "s", "1 x");
+    ASSERT_TRUE(refused.error.has_value());
+    EXPECT_EQ(refused.error->code, OutcomeCode::Aborted);
+    runStatement(this->pool, caller, StatementKind::Rollback, "a4", "ROLLBACK");
+    runStatement(this->pool, caller, StatementKind::Begin, "a5", "BEGIN");
+    EXPECT_FALSE(this->execute(caller, "a6", "s", "1 x").error.has_value());
+    EXPECT_FALSE(runStatement(this->pool, caller, StatementKind::Commit, "a7", "COMMIT").error.has_value());
+    EXPECT_EQ(this->executionOf("a6").shape, "q");
+}
+
+// Guards against prepared statements that nobody uses any more filling the memory of a link, and against a statement being
+// sent on in a message that is too long for the server.
+TEST_F(Session, LargeShapesAreBounded)
+{
+    const auto caller = *this->pool.openCaller(0, VirtualPool::ownRoute);
+    const std::size_t large = PoolOptions{}.preparedBytes / 2 + 1;
+    for (int round = 0; round < 12; ++round) {
+        const std::string shape(large, static_cast<char>('a' + round));
+        const std::string suffix = std::to_string(round);
+        this->prepare(caller, "p" + suffix, "s", false, shape);
+        EXPECT_FALSE(this->execute(caller, "x" + suffix, "s", "1").error.has_value());
+        EXPECT_EQ(this->executionOf("x" + suffix).shape, shape);
+    }
+    this->pool.core(0)->state().links.forEach(
+        [&](LinkId, const LinkRow &link) { EXPECT_LE(link.prepared.textBytes(), 2 * large); });
+    this->prepare(caller, "p", "t", true, std::string(PoolOptions{}.preparedTextLimit, 'x'));
+    ASSERT_TRUE(this->pool.caller(caller).replies.back().error.has_value());
+    EXPECT_EQ(this->pool.caller(caller).replies.back().error->code, OutcomeCode::TooLarge);
+    EXPECT_EQ(joined(this->pool.group().history().misuse), "");
+}
+
 // Guards against EXECUTE running a statement under a name that was deallocated.
 TEST_F(Session, UnknownPreparedNameIsAnError)
 {
