--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -31,6 +31,13 @@
     return std::string(memberPrefix) + std::string(instance);
 }
 
+bool FleetView::isReadable(std::string_view name, std::string_view content)
+{
+    if (name.starts_with(recordPrefix))
+        return LeadershipRecord::fromText(content).has_value();
+    return !name.starts_with(memberPrefix) || MemberRecord::fromText(content).has_value();
+}
+
 bool FleetView::apply(const FleetUpdate &update, TimePoint now)
 {
     if (update.reported)
--- a/src/leadership/fleetview.h
+++ b/src/leadership/fleetview.h
@@ -44,6 +44,9 @@
     static constexpr std::string_view recoveryName = "recovery";
     [[nodiscard]] static std::string recoveryText(std::uint64_t era);
 
+    /// Whether the view can use an object of this name and content; always true for names that it does not know.
+    [[nodiscard]] static bool isReadable(std::string_view name, std::string_view content);
+
     /// Ignores objects that cannot be read. Returns false if the update is older than the view and was ignored.
     bool apply(const FleetUpdate &update, TimePoint now);
 
--- a/src/pool/feedupdate.cpp
+++ b/src/pool/feedupdate.cpp
@@ -19,11 +19,11 @@
             listed.push_back({{"name", object.name}, {"revision", object.revision}, {"content", object.content}});
         root["members"] = std::move(listed);
     }
-    std::string text = root.dump();
+    std::string text = root.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (!this->routes)
         return text;
     root["routes"] = toJson(*this->routes);
-    std::string complete = root.dump();
+    std::string complete = root.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return complete.size() > limit ? text : complete;
 }
 
--- a/src/pool/relayedroute.cpp
+++ b/src/pool/relayedroute.cpp
@@ -14,7 +14,7 @@
         root["markTerm"] = this->mark->term;
         root["markPosition"] = this->mark->position;
     }
-    return root.dump();
+    return root.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::optional<RelayedRoute> RelayedRoute::fromText(std::string_view text)
--- a/tests/platform/entrystoretest.cpp
+++ b/tests/platform/entrystoretest.cpp
@@ -161,6 +161,73 @@
     EXPECT_EQ(this->requestCount("jujubekeel"), 4U);
 }
 
+std::string serverItem(const std::string &name, int revision, const std::string &state)
+{
+    return R"({"meta":{"Name":")" + name + R"(","Revision":)" + std::to_string(revision)
+           + R"(},"spec":{"Service":"s","Address":"127.0.0.1:9","Zone":"d","Slots":3,"State":")" + state
+           + R"(","DbRole":"replica"}})";
+}
+
+// Guards against an instance that finds no server, or follows none any more, because another writer has left an entry that
+// cannot be read (review case 4), and against a log line for each list that contains it.
+TEST_F(EntryStoreTest, OddEntriesLeaveTheOthersInForce)
+{
+    const std::string odd = R"({"meta":{"Name":"odd-1","Revision":5},"spec":{"Version":"\xff\xfe"}},)"
+                            R"({"meta":{"Name":"odd-2","Revision":6},"spec":{"Slots":1e999}},)"
+                            R"({"meta":{"Name":"odd-3","Revision":7},"spec":{"Version":"\ud800"}},)"
+                            R"({"meta":{"Name":"odd-4","Revision":8},"spec":)"
+                            + std::string(50000, '[') + std::string(50000, ']') + R"(},{"meta":null},)";
+    this->start([odd](const std::string &kind, std::size_t count) -> std::string {
+        if (kind == "config")
+            return count == 1 ? routeList(1, 10) : "";
+        if (kind == "jujubekeel")
+            return count == 1 ? R"({"items":[],"CurrentRev":10})" : "";
+        switch (count) {
+        case 1:
+            return R"({"items":[)" + odd + serverItem("i-1", 9, "ready") + R"(],"CurrentRev":10})";
+        case 2: // the watch fails, so that the entries are listed again
+            return unavailable;
+        case 3:
+            return R"({"items":[)" + odd + serverItem("i-1", 9, "ready") + "," + serverItem("i-2", 10, "ready")
+                   + R"(],"CurrentRev":10})";
+        case 4:
+            return R"({"events":[{"Object":{"meta":{"Name":"odd-2","Revision":11},"spec":{"Slots":-1e999}},"Deleted":false},)"
+                   R"({"Object":)"
+                   + serverItem("i-1", 12, "draining") + R"(,"Deleted":false}],"CurrentRev":12})";
+        default:
+            return "";
+        }
+    });
+    const auto rowOf = [this](const std::string &id) -> const ServerRow * {
+        const PoolWorld &world = this->core->state();
+        const auto found = world.serverById.find(id);
+        return found == world.serverById.end() ? nullptr : world.servers.find(found->second);
+    };
+    ASSERT_TRUE(this->runUntil([&] { return rowOf("i-2") != nullptr; }));
+    ASSERT_TRUE(this->runUntil([&] { return rowOf("i-1") != nullptr && rowOf("i-1")->entry.draining; }));
+    EXPECT_EQ(rowOf("odd-1"), nullptr);
+    // Five objects once each, and the changed one again.
+    MetricValues values;
+    this->store->addMetrics(values);
+    EXPECT_EQ(values.at("jujubekeel_store_objects_ignored_total"), "6");
+}
+
+// Guards against a server being used whose entry another writer has replaced.
+TEST_F(EntryStoreTest, EntryThatBecomesUnreadableNamesNoServer)
+{
+    this->start([](const std::string &kind, std::size_t count) -> std::string {
+        if (kind != "servers")
+            return count == 1 ? (kind == "config" ? routeList(1, 10) : R"({"items":[],"CurrentRev":10})") : "";
+        if (count == 1)
+            return R"({"items":[)" + serverItem("i-1", 9, "draining") + R"(],"CurrentRev":10})";
+        return count == 2 ? R"({"events":[{"Object":)" + serverItem("i-1", 11, "unknown")
+                                + R"(,"Deleted":false}],"CurrentRev":11})"
+                          : "";
+    });
+    ASSERT_TRUE(this->runUntil([this] { return this->requestCount("servers") >= 3; }));
+    EXPECT_TRUE(this->core->state().serverById.empty());
+}
+
 } // namespace
 
 } // namespace Jujubekeel
