--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -154,7 +154,8 @@
     if (relayedOnly && !session.relayed)
         statement.kind = StatementKind::Malformed;
     const bool isRenamed = statement.kind == StatementKind::Prepare || statement.kind == StatementKind::Execute;
-    if (isRenamed && statement.text.size() > this->world.options.preparedTextLimit) {
+    // The instance that relays a statement has checked its length.
+    if (isRenamed && !session.relayed && statement.text.size() > this->world.options.preparedTextLimit) {
         this->failInTransaction(id, OutcomeCode::TooLarge, "the statement is too long to be sent under another name");
         return;
     }
