--- a/src/virtualpool/poolchecker.h
+++ b/src/virtualpool/poolchecker.h
@@ -9,10 +9,10 @@
 namespace Jujubekeel {
 
 /// Compares the replies to the callers with the history of the servers. Returns one line for each violation: an
-/// acknowledged commit that no server executed, that a replaced primary made or, if replicas had to receive it first, that
-/// a promotion lost, a read that misses a commit that it
-/// must see, a write that took effect twice, a write that was kept although its caller was told that it did not run, a
-/// reply that belongs to another session or statement, a command that breaks the statement protocol.
+/// acknowledged commit that no server executed, that a replaced primary made or, if replicas had to receive it first,
+/// that a promotion lost; a read that misses a commit that it must see, a write that took effect twice, a write that was
+/// kept although its caller was told that it did not run, a reply that belongs to another session or statement, a
+/// command that breaks the statement protocol.
 [[nodiscard]] std::vector<std::string> findViolations(const StatementGroup &group, const PoolWorkload &workload);
 
 } // namespace Jujubekeel
