Rate limits: one granting member in each region, asked first by its instances

A region that was cut off could be left without any of the three. Change: RateRanks chooses the three in different regions where there are enough, and RateRanks::askOrder puts those of the own region first; RateSpender knows places in that order in place of ranks.

--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -24,6 +24,15 @@
     std::string region;
     std::map<std::string, std::string, std::less<>> regionOf; ///< by failure domain
 
+    /// Region of a failure domain; empty if it is unknown.
+    [[nodiscard]] std::string_view findRegion(std::string_view domain) const
+    {
+        const auto found = this->regionOf.find(domain);
+        if (found != this->regionOf.end())
+            return found->second;
+        return domain == this->failureDomain ? this->region : std::string_view();
+    }
+
     bool requiresKeys = false; ///< callers need a key even if the configuration names no organisation
 
     bool adaptivePacing = false; ///< the work for a backend server is limited by how it answers
--- a/src/pool/ratelimitsystem.cpp
+++ b/src/pool/ratelimitsystem.cpp
@@ -65,7 +65,8 @@
     this->incarnation = processIncarnation;
     const std::string &instance = this->world.options.instance;
     this->grantor = RateGrantor(RateGrantorOptions{.instance = instance});
-    this->spender = RateSpender(RateSpenderOptions{.firstRank = rendezvousKey(instance) % RateRanks::count});
+    this->spender = RateSpender();
+    this->self = RateMember{.name = instance, .region = this->world.options.region};
 }
 
 bool RateLimitSystem::isLimited(const SessionRow &session)
@@ -144,7 +145,7 @@
 
 void RateLimitSystem::sendRequest(const RateRequest &request)
 {
-    const std::string member(this->ranks.membersOf(request.organisation)[request.rank]);
+    const std::string member(this->ranks.askOrder(request.organisation, this->self)[request.place]);
     if (member == this->world.options.instance) {
         this->checkSuspension();
         this->spender.granted(request, this->grantor.grant(request.organisation, request.wanted, this->world.now),
@@ -269,11 +270,12 @@
 {
     if (view.revision() == 0)
         return;
-    std::vector<std::string> serving;
+    std::vector<RateMember> serving;
     for (const auto &[instance, member] : view.members()) {
         // A member that restarts keeps its ranks meanwhile, so that those of the others don't change twice.
         if (member.record.state != MemberState::Leaving && !member.record.isEvicted())
-            serving.push_back(instance);
+            serving.push_back(RateMember{
+                .name = instance, .region = std::string(this->world.options.findRegion(member.record.failureDomain))});
     }
     if (serving == this->members)
         return;
@@ -285,7 +287,8 @@
     this->spender.membersChanged();
     // A member that leaves or has left gets no more requests.
     for (auto entry = this->linkOf.begin(); entry != this->linkOf.end();) {
-        const bool serves = std::binary_search(this->members.begin(), this->members.end(), entry->first);
+        const bool serves = std::any_of(this->members.begin(), this->members.end(),
+                                        [&](const RateMember &member) { return member.name == entry->first; });
         const bool isOpen = this->world.links.contains(entry->second);
         if (!serves && isOpen)
             this->links.close(entry->second, LinkEnd::Closed);
--- a/src/pool/ratelimitsystem.h
+++ b/src/pool/ratelimitsystem.h
@@ -93,7 +93,8 @@
     RateGrantor grantor;
     RateSpender spender;
     RateRanks ranks;
-    std::vector<std::string> members;                                ///< that serve, as last seen
+    RateMember self;
+    std::vector<RateMember> members;                                 ///< that serve, as last seen
     std::map<std::string, std::deque<Waiting>, std::less<>> waiting; ///< by organisation, in order of arrival
     std::map<std::string, LinkId, std::less<>> linkOf;               ///< by member
     std::map<std::uint64_t, std::deque<Outstanding>> outstanding;    ///< by packed link, in the order of sending
--- a/src/ratelimit/rategrantor.cpp
+++ b/src/ratelimit/rategrantor.cpp
@@ -1,5 +1,6 @@
 #include "ratelimit/rategrantor.h"
 
+#include "core/seconds.h"
 #include "organisations/organisationtable.h"
 
 #include <algorithm>
@@ -7,23 +8,16 @@
 
 namespace Jujubekeel {
 
-namespace {
-
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-} // namespace
-
-void RateGrantor::setMembers(std::span<const std::string> names, bool isListedFromBefore, TimePoint now)
+void RateGrantor::setMembers(std::span<const RateMember> members, bool isListedFromBefore, TimePoint now)
 {
     for (auto &[name, bucket] : this->buckets)
         this->refill(bucket, now);
-    if (!this->ranks.setMembers(names) && this->hasMembers)
+    if (!this->ranks.setMembers(members) && this->hasMembers)
         return;
-    const bool wasMember =
-        std::exchange(this->isMember, std::find(names.begin(), names.end(), this->options.instance) != names.end());
+    const bool isListed = std::any_of(members.begin(), members.end(), [this](const RateMember &member) {
+        return member.name == this->options.instance;
+    });
+    const bool wasMember = std::exchange(this->isMember, isListed);
     // The others have counted this member all the while, so nobody has taken its shares.
     const bool isKnown = !std::exchange(this->hasMembers, true) && this->isMember && isListedFromBefore;
     this->stableAt = isKnown ? now : now + this->options.stableAfter;
--- a/src/ratelimit/rategrantor.h
+++ b/src/ratelimit/rategrantor.h
@@ -50,11 +50,11 @@
 public:
     explicit RateGrantor(RateGrantorOptions grantorOptions) : options(std::move(grantorOptions)) {}
 
-    /// Names of all members that serve, including this one if it does. A member that joins them starts with
+    /// All members that serve, including this one if it does. A member that joins them starts with
     /// `startShare` at most.
     /// \a isListedFromBefore: the registration of an earlier process of this member has not been replaced yet, so that the
     /// other members have counted it all the while.
-    void setMembers(std::span<const std::string> names, bool isListedFromBefore, TimePoint now);
+    void setMembers(std::span<const RateMember> members, bool isListedFromBefore, TimePoint now);
     /// Limits of the configuration in force.
     void setTable(const OrganisationTable &table, TimePoint now);
     /// This process was suspended, so its view of the members may be out of date. Has the effect of a restart.
--- a/src/ratelimit/ratespender.cpp
+++ b/src/ratelimit/ratespender.cpp
@@ -1,5 +1,6 @@
 #include "ratelimit/ratespender.h"
 
+#include "core/seconds.h"
 #include "organisations/organisationtable.h"
 
 #include <algorithm>
@@ -7,15 +8,6 @@
 
 namespace Jujubekeel {
 
-namespace {
-
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-} // namespace
-
 RateDecision RateSpender::tryTake(std::string_view organisation, TimePoint now)
 {
     auto found = this->rows.find(organisation);
@@ -32,7 +24,7 @@
         this->planRequest(found->first, row, now);
         return RateDecision{.verdict = RateVerdict::Taken};
     }
-    if (!row.asked && !stepToAsk(row, now))
+    if (!row.asked && !placeToAsk(row, now))
         return this->refusal(row, now);
     row.waiting += 1;
     this->planRequest(found->first, row, now);
@@ -51,7 +43,7 @@
         workTaken(row);
         return RateDecision{.verdict = RateVerdict::Taken};
     }
-    if (row.asked || stepToAsk(row, now))
+    if (row.asked || placeToAsk(row, now))
         return RateDecision{.verdict = RateVerdict::Wait};
     workTaken(row);
     return this->refusal(row, now);
@@ -66,7 +58,7 @@
 {
     row.waiting -= 1;
     if (row.waiting == 0)
-        row.nextStep = 0;
+        row.nextPlace = 0;
 }
 
 Duration RateSpender::retryAfter(std::string_view organisation, TimePoint now) const
@@ -92,15 +84,15 @@
             continue;
         Row &row = found->second;
         row.isQueued = false;
-        const auto step = this->stepToAsk(row, now);
+        const auto place = placeToAsk(row, now);
         const std::uint32_t needed = row.waiting + this->expected(row, now);
         const std::uint32_t available = stock(row, now);
-        if (row.asked || !step || needed <= available)
+        if (row.asked || !place || needed <= available)
             continue;
         row.asked = ++this->lastSerial;
         return RateRequest{.serial = this->lastSerial,
                            .organisation = organisation,
-                           .rank = this->rankOfStep(*step),
+                           .place = *place,
                            .wanted = needed - available,
                            .sentAt = now};
     }
@@ -114,8 +106,8 @@
         return;
     Row &row = found->second;
     const bool isShort = grant.granted < request.wanted;
-    row.pausedUntil[request.rank] = isShort ? now + grant.retryAfter : TimePoint{0};
-    row.silentUntil[request.rank] = TimePoint{0};
+    row.pausedUntil[request.place] = isShort ? now + grant.retryAfter : TimePoint{0};
+    row.silentUntil[request.place] = TimePoint{0};
     if (isShort)
         row.deniedAt = now;
     const TimePoint expiresAt = request.sentAt + this->options.hold;
@@ -146,8 +138,8 @@
     const auto found = this->rows.find(request.organisation);
     if (found == this->rows.end())
         return;
-    found->second.pausedUntil[request.rank] = now + this->options.silentPause;
-    found->second.silentUntil[request.rank] = now + this->options.silentPause;
+    found->second.pausedUntil[request.place] = now + this->options.silentPause;
+    found->second.silentUntil[request.place] = now + this->options.silentPause;
     this->finishRequest(request, found->second, now);
 }
 
@@ -158,7 +150,7 @@
     row.asked.reset();
     if (row.waiting == 0)
         return;
-    row.nextStep = (request.rank + RateRanks::count - this->options.firstRank) % RateRanks::count + 1;
+    row.nextPlace = request.place + 1;
     if (stock(row, now) < row.waiting)
         this->planRequest(request.organisation, row, now);
 }
@@ -237,18 +229,18 @@
     row.ratedAt = now;
 }
 
-std::optional<std::size_t> RateSpender::stepToAsk(const Row &row, TimePoint now) const
+std::optional<std::size_t> RateSpender::placeToAsk(const Row &row, TimePoint now)
 {
-    for (std::size_t step = row.nextStep; step < RateRanks::count; ++step) {
-        if (row.pausedUntil[this->rankOfStep(step)] <= now)
-            return step;
+    for (std::size_t place = row.nextPlace; place < RateRanks::count; ++place) {
+        if (row.pausedUntil[place] <= now)
+            return place;
     }
     return std::nullopt;
 }
 
 void RateSpender::planRequest(std::string_view organisation, Row &row, TimePoint now)
 {
-    if (row.asked || row.isQueued || !stepToAsk(row, now))
+    if (row.asked || row.isQueued || !placeToAsk(row, now))
         return;
     if (row.waiting == 0 && stock(row, now) * 2 >= this->expected(row, now))
         return;
--- a/src/ratelimit/ratespender.h
+++ b/src/ratelimit/ratespender.h
@@ -22,7 +22,6 @@
 
 struct RateSpenderOptions
 {
-    std::size_t firstRank = 0; ///< rank that is asked first; differs between instances, so that their load is shared
     Duration hold = std::chrono::milliseconds(500); ///< validity of granted operations, from the request's time
     /// Validity of an operation that was given back. Short, because it was granted up to two seconds before.
     Duration givenBackHold = std::chrono::milliseconds(150);
@@ -65,7 +64,7 @@
     /// No answer arrived in time, or the member cannot be reached.
     void unanswered(const RateRequest &request, TimePoint now);
 
-    /// The members of the ranks may have changed, so what is known about their answers no longer applies.
+    /// The members and their order may have changed, so what is known about their answers no longer applies.
     void membersChanged();
     /// Removes what is stored for organisations without a limit. None of their operations may be waiting.
     void setTable(const OrganisationTable &table);
@@ -82,10 +81,10 @@
         std::deque<Lot> lots; ///< in order of expiry
         std::uint32_t waiting = 0;
         std::optional<std::uint64_t> asked;                    ///< serial of the request in progress
-        std::array<TimePoint, RateRanks::count> pausedUntil{}; ///< by rank
-        std::size_t nextStep = 0; ///< earlier ranks have been asked for the operations that wait
-        bool isQueued = false;    ///< contained in `queued`
-        std::array<TimePoint, RateRanks::count> silentUntil{}; ///< by rank; 0: it has answered
+        std::array<TimePoint, RateRanks::count> pausedUntil{}; ///< by place
+        std::size_t nextPlace = 0; ///< earlier ones have been asked for the operations that wait
+        bool isQueued = false;     ///< contained in `queued`
+        std::array<TimePoint, RateRanks::count> silentUntil{}; ///< by place; 0: it has answered
         TimePoint deniedAt{0};   ///< last answer that granted less than requested; 0: none
         double admittedRate = 0; ///< operations per second that ran on grants, moving average
         TimePoint admittedAt{0};
@@ -104,16 +103,12 @@
     /// Whole operations expected within `foresight`.
     [[nodiscard]] std::uint32_t expected(const Row &row, TimePoint now) const;
     void countOperation(Row &row, TimePoint now) const;
-    [[nodiscard]] std::size_t rankOfStep(std::size_t step) const
-    {
-        return (this->options.firstRank + step) % RateRanks::count;
-    }
-    /// Step of the next rank that may be asked; empty if there is none.
-    [[nodiscard]] std::optional<std::size_t> stepToAsk(const Row &row, TimePoint now) const;
+    /// Place of the next member that may be asked; empty if there is none.
+    [[nodiscard]] static std::optional<std::size_t> placeToAsk(const Row &row, TimePoint now);
     [[nodiscard]] RateDecision refusal(const Row &row, TimePoint now) const;
     /// Plans a request if operations wait or the stock is low.
     void planRequest(std::string_view organisation, Row &row, TimePoint now);
-    /// The request to a rank has ended; the ranks after it are asked next.
+    /// The request to a member has ended; those after it are asked next.
     void finishRequest(const RateRequest &request, Row &row, TimePoint now);
     static void workTaken(Row &row);
 
--- a/tests/pool/ratelimittest.cpp
+++ b/tests/pool/ratelimittest.cpp
@@ -131,10 +131,11 @@
     /// A member that grants the organisation's operations.
     [[nodiscard]] std::size_t firstMember(const std::string &organisation) const
     {
-        std::vector<std::string> members;
+        std::vector<RateMember> members;
         for (std::size_t instance = 0; instance < this->pool.instanceCount(); ++instance) {
+            const PoolOptions &options = this->pool.core(instance)->state().options;
             if (!this->pool.core(instance)->state().isRelaying())
-                members.push_back("i" + std::to_string(instance));
+                members.push_back({.name = "i" + std::to_string(instance), .region = options.region});
         }
         RateRanks ranks;
         ranks.setMembers(members);
--- a/tests/ratelimit/rategrantortest.cpp
+++ b/tests/ratelimit/rategrantortest.cpp
@@ -4,8 +4,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Jujubekeel {
@@ -25,10 +28,18 @@
     return table;
 }
 
+std::vector<RateMember> inOneRegion(const std::vector<std::string> &members)
+{
+    std::vector<RateMember> result;
+    for (const std::string &name : members)
+        result.push_back(RateMember{.name = name, .region = "north"});
+    return result;
+}
+
 std::string memberOfRank(std::size_t rank, const std::vector<std::string> &members = names)
 {
     RateRanks ranks;
-    ranks.setMembers(members);
+    ranks.setMembers(inOneRegion(members));
     return std::string(ranks.membersOf("acme")[rank]);
 }
 
@@ -49,7 +60,7 @@
 RateGrantor stableGrantor(std::size_t rank, double rate = 100, double burst = 100)
 {
     RateGrantor grantor(options(memberOfRank(rank)));
-    grantor.setMembers(names, false, seconds(0));
+    grantor.setMembers(inOneRegion(names), false, seconds(0));
     grantor.setTable(tableWith(rate, burst), seconds(0));
     (void)grantor.grant("acme", 1000, seconds(3));
     return grantor;
@@ -74,7 +85,7 @@
         if (name == memberOfRank(0) || name == memberOfRank(1) || name == memberOfRank(2))
             continue;
         RateGrantor grantor({.instance = name, .burstPart = 0, .capacityTime = milliseconds(500)});
-        grantor.setMembers(names, false, seconds(0));
+        grantor.setMembers(inOneRegion(names), false, seconds(0));
         grantor.setTable(tableWith(100, 100), seconds(0));
         EXPECT_EQ(grantor.grant("acme", 10, seconds(10)).granted, 0U);
     }
@@ -101,7 +112,7 @@
         std::uint32_t granted = 0;
         for (const std::string &member : few) {
             RateGrantor grantor({.instance = member, .burstPart = 0, .capacityTime = milliseconds(500)});
-            grantor.setMembers(few, false, seconds(0));
+            grantor.setMembers(inOneRegion(few), false, seconds(0));
             grantor.setTable(tableWith(100, 100), seconds(0));
             (void)grantor.grant("acme", 1000, seconds(3));
             granted += grantedAfter(grantor, seconds(3), seconds(4));
@@ -117,9 +128,9 @@
     std::erase(others, memberOfRank(0));
     RateGrantor grantor(options(memberOfRank(0)));
     grantor.setTable(tableWith(100, 100), seconds(0));
-    grantor.setMembers(others, false, seconds(0));
+    grantor.setMembers(inOneRegion(others), false, seconds(0));
     EXPECT_EQ(grantedAfter(grantor, seconds(0), seconds(9)), 0U);
-    grantor.setMembers(names, false, seconds(10));
+    grantor.setMembers(inOneRegion(names), false, seconds(10));
     EXPECT_NEAR(grantedAfter(grantor, seconds(10), milliseconds(1950)), 29, 1);
 }
 
@@ -127,7 +138,7 @@
 TEST(RateGrantor, BucketStartsEmptyAndHasACapacity)
 {
     RateGrantor grantor(options(memberOfRank(0)));
-    grantor.setMembers(names, false, seconds(0));
+    grantor.setMembers(inOneRegion(names), false, seconds(0));
     grantor.setTable(tableWith(100, 100), seconds(0));
     EXPECT_EQ(grantor.grant("acme", 10, seconds(0)).granted, 0U);
     EXPECT_EQ(grantor.grant("acme", 1000, seconds(60)).granted, 35U);
@@ -141,7 +152,7 @@
 TEST(RateGrantor, StartsWithTheSmallShareUntilTheViewIsStable)
 {
     RateGrantor grantor(options(memberOfRank(0)));
-    grantor.setMembers(names, false, seconds(0));
+    grantor.setMembers(inOneRegion(names), false, seconds(0));
     grantor.setTable(tableWith(100, 100), seconds(0));
     EXPECT_NEAR(grantedAfter(grantor, seconds(0), milliseconds(1950)), 29, 1);
     EXPECT_NEAR(grantedAfter(grantor, seconds(3), seconds(2)), 35 + 140, 1);
@@ -155,16 +166,16 @@
     std::erase(without, memberOfRank(0));
     RateGrantor grantor = stableGrantor(1);
     ASSERT_EQ(memberOfRank(0, without), memberOfRank(1));
-    grantor.setMembers(without, false, seconds(3));
+    grantor.setMembers(inOneRegion(without), false, seconds(3));
     EXPECT_NEAR(grantedAfter(grantor, seconds(3), milliseconds(1950)), 29, 1);
     (void)grantedAfter(grantor, seconds(5), milliseconds(0));
     EXPECT_NEAR(grantedAfter(grantor, seconds(5), seconds(1)), 70, 1);
-    grantor.setMembers(names, false, seconds(6));
+    grantor.setMembers(inOneRegion(names), false, seconds(6));
     EXPECT_NEAR(grantedAfter(grantor, seconds(6), seconds(1)), 15, 1);
     // Back and forth: the lower share stays in force.
-    grantor.setMembers(without, false, seconds(7));
-    grantor.setMembers(names, false, seconds(8));
-    grantor.setMembers(without, false, seconds(9));
+    grantor.setMembers(inOneRegion(without), false, seconds(7));
+    grantor.setMembers(inOneRegion(names), false, seconds(8));
+    grantor.setMembers(inOneRegion(without), false, seconds(9));
     EXPECT_NEAR(grantedAfter(grantor, seconds(9), milliseconds(1950)), 7 + 29, 1)
         << "a full bucket of the small share, and its refill";
 }
@@ -209,17 +220,64 @@
 TEST(RateRanks, DependOnTheNamesOnly)
 {
     RateRanks ranks;
-    EXPECT_TRUE(ranks.setMembers(names));
+    EXPECT_TRUE(ranks.setMembers(inOneRegion(names)));
     const std::vector<std::string> reversed(names.rbegin(), names.rend());
-    EXPECT_FALSE(ranks.setMembers(reversed));
+    EXPECT_FALSE(ranks.setMembers(inOneRegion(reversed)));
     for (std::size_t rank = 0; rank < RateRanks::count; ++rank)
         EXPECT_EQ(ranks.rankOf("acme", ranks.membersOf("acme")[rank]), rank);
-    EXPECT_TRUE(ranks.setMembers(std::vector<std::string>{"m0"}));
+    EXPECT_TRUE(ranks.setMembers(inOneRegion({"m0"})));
     EXPECT_EQ(ranks.membersOf("acme")[0], "m0");
     EXPECT_EQ(ranks.membersOf("acme")[1], "");
     EXPECT_FALSE(ranks.rankOf("acme", "").has_value());
 }
 
+// Guards against requests that cross regions although a member of the own region grants operations, and against a region
+// without a member that grants them, which could run nothing while it is cut off.
+TEST(RateRanks, EachRegionHasAMemberThatItAsksFirst)
+{
+    std::vector<RateMember> members;
+    for (int number = 0; number < 15; ++number)
+        members.push_back({.name = "m" + std::to_string(number),
+                           .region = number < 9    ? "north"
+                                     : number < 12 ? "south"
+                                                   : "east"});
+    RateRanks ranks;
+    ASSERT_TRUE(ranks.setMembers(members));
+    const auto regionOf = [&](std::string_view name) {
+        return std::find_if(members.begin(), members.end(),
+                            [&](const RateMember &member) { return member.name == name; })
+            ->region;
+    };
+    for (const std::string organisation : {"acme", "blue", "coop", "dell"}) {
+        std::set<std::string> regions;
+        for (const std::string_view name : ranks.membersOf(organisation))
+            regions.insert(regionOf(name));
+        EXPECT_EQ(regions.size(), 3U) << organisation;
+        for (const std::string region : {"north", "south", "east"}) {
+            const auto order = ranks.askOrder(organisation, {.name = "i7", .region = region});
+            EXPECT_EQ(regionOf(order[0]), region);
+            EXPECT_EQ(std::set<std::string_view>(order.begin(), order.end()).size(), 3U);
+        }
+    }
+}
+
+// Guards against all instances of a region asking the same member first where it has no member of its own, and against a
+// fleet of one region that has fewer than three members that grant.
+TEST(RateRanks, InstancesOfOneRegionAskDifferentMembers)
+{
+    RateRanks ranks;
+    ASSERT_TRUE(ranks.setMembers(inOneRegion(names)));
+    for (const std::string region : {"north", "west"}) {
+        std::set<std::string_view> first;
+        for (int number = 0; number < 20; ++number)
+            first.insert(ranks.askOrder("acme", {.name = "i" + std::to_string(number), .region = region})[0]);
+        EXPECT_EQ(first.size(), 3U) << region;
+    }
+    ASSERT_TRUE(ranks.setMembers(inOneRegion({"m0"})));
+    const auto alone = ranks.askOrder("acme", {.name = "i1", .region = "north"});
+    EXPECT_EQ(alone, (std::array<std::string_view, RateRanks::count>{"m0", "", ""}));
+}
+
 } // namespace
 
 } // namespace Jujubekeel
--- a/tests/ratelimit/ratemodel.h
+++ b/tests/ratelimit/ratemodel.h
@@ -220,6 +220,19 @@
             this->at(process.frozenUntil - this->now + Duration(1 + this->serial % 100), work);
     }
 
+    /// Three regions of equal size, for members and instances.
+    static std::string regionOf(std::size_t index) { return "region" + std::to_string(index % 3); }
+    [[nodiscard]] std::vector<RateMember> servingMembers() const
+    {
+        std::vector<RateMember> view;
+        for (std::size_t index = 0; index < this->members.size(); ++index) {
+            const std::string &name = this->members[index].name;
+            if (this->serving.contains(name))
+                view.push_back(RateMember{.name = name, .region = regionOf(index)});
+        }
+        return view;
+    }
+
     void setServing(const std::string &name, bool serves)
     {
         if (serves == this->serving.contains(name))
@@ -229,7 +242,7 @@
         else
             this->serving.erase(name);
         const std::uint64_t version = ++this->membership;
-        const std::vector<std::string> view(this->serving.begin(), this->serving.end());
+        const std::vector<RateMember> view = this->servingMembers();
         for (std::size_t index = 0; index < this->members.size(); ++index)
             this->at(this->upTo(this->options.maxViewLag), [this, index, version, view] {
                 this->whenAwake(this->members[index],
@@ -247,7 +260,7 @@
                 });
             });
     }
-    void show(std::size_t index, std::uint64_t version, const std::vector<std::string> &view)
+    void show(std::size_t index, std::uint64_t version, const std::vector<RateMember> &view)
     {
         Member &member = this->members[index];
         if (!member.grantor || version <= member.seen)
@@ -264,18 +277,18 @@
         member.wasFrozenUntil = TimePoint{0};
         member.seen = 0;
         member.table = 0;
-        const std::vector<std::string> view(this->serving.begin(), this->serving.end());
+        const std::vector<RateMember> view = this->servingMembers();
         this->show(index, this->membership, view);
         this->applyLimit(index, this->limits.size());
     }
     void startSpender(std::size_t index)
     {
         Spender &spender = this->spenders[index];
-        spender.spender = RateSpender({.firstRank = index % RateRanks::count});
+        spender.spender = RateSpender();
         spender.ranks = RateRanks();
         spender.seen = this->membership;
         spender.frozenUntil = TimePoint{0};
-        spender.ranks.setMembers(std::vector<std::string>(this->serving.begin(), this->serving.end()));
+        spender.ranks.setMembers(this->servingMembers());
     }
     void applyLimit(std::size_t index, std::size_t version)
     {
@@ -387,7 +400,8 @@
                         this->answered(index, *request, std::nullopt);
                 });
             });
-            const std::string_view name = spender.ranks.membersOf(organisation)[request->rank];
+            const RateMember self{.name = "i" + std::to_string(index), .region = regionOf(index)};
+            const std::string_view name = spender.ranks.askOrder(organisation, self)[request->place];
             const auto member = std::find_if(this->members.begin(), this->members.end(),
                                              [&](const Member &other) { return other.name == name; });
             if (member == this->members.end())
--- a/tests/ratelimit/ratespendertest.cpp
+++ b/tests/ratelimit/ratespendertest.cpp
@@ -27,7 +27,7 @@
     const auto request = spender.nextRequest(start);
     ASSERT_TRUE(request);
     EXPECT_EQ(request->organisation, "acme");
-    EXPECT_EQ(request->rank, 0U);
+    EXPECT_EQ(request->place, 0U);
     EXPECT_EQ(request->wanted, 2U);
     EXPECT_FALSE(spender.nextRequest(start)) << "one request at a time";
     EXPECT_EQ(spender.takeWaiting("acme", start).verdict, RateVerdict::Wait);
@@ -66,12 +66,12 @@
 {
     RateSpender spender;
     EXPECT_EQ(take(spender, start), RateVerdict::Wait);
-    for (std::size_t rank = 0; rank < 3; ++rank) {
+    for (std::size_t place = 0; place < 3; ++place) {
         const auto request = spender.nextRequest(start);
         ASSERT_TRUE(request);
-        EXPECT_EQ(request->rank, rank);
+        EXPECT_EQ(request->place, place);
         EXPECT_EQ(spender.takeWaiting("acme", start).verdict, RateVerdict::Wait);
-        spender.granted(*request, {.granted = 0, .retryAfter = milliseconds(300 - 100 * static_cast<int>(rank))},
+        spender.granted(*request, {.granted = 0, .retryAfter = milliseconds(300 - 100 * static_cast<int>(place))},
                         start);
     }
     EXPECT_FALSE(spender.nextRequest(start));
@@ -84,7 +84,7 @@
     EXPECT_FALSE(spender.nextRequest(start + milliseconds(99)));
     // Only the member whose time has come is asked.
     EXPECT_EQ(take(spender, start + milliseconds(100)), RateVerdict::Wait);
-    EXPECT_EQ(spender.nextRequest(start + milliseconds(100))->rank, 2U);
+    EXPECT_EQ(spender.nextRequest(start + milliseconds(100))->place, 2U);
 }
 
 // Guards against a member that does not answer holding up every operation, and against losing its late grant.
@@ -96,12 +96,12 @@
     spender.unanswered(*first, start + milliseconds(150));
     const auto second = spender.nextRequest(start + milliseconds(150));
     ASSERT_TRUE(second);
-    EXPECT_EQ(second->rank, 1U);
+    EXPECT_EQ(second->place, 1U);
     spender.granted(*first, {.granted = 1}, start + milliseconds(160));
     EXPECT_EQ(spender.takeWaiting("acme", start + milliseconds(160)).verdict, RateVerdict::Taken);
     spender.unanswered(*second, start + milliseconds(300));
     EXPECT_EQ(take(spender, start + milliseconds(310)), RateVerdict::Wait);
-    EXPECT_EQ(spender.nextRequest(start + milliseconds(310))->rank, 0U) << "it has answered";
+    EXPECT_EQ(spender.nextRequest(start + milliseconds(310))->place, 0U) << "it has answered";
 }
 
 // Guards against members that are slow for a moment stopping an organisation that stays below its limit, and against the
