Change feed reports what differs from the subscriber's version

Cause: a configuration that grows to 250 KB and changes four more times within 3 s was sent whole to each subscriber, as uncompressed JSON, once for each of them. Statements waited behind it on links of 10 Mbit/s. Each version also made new Route objects, so that every link was told its route again.

Change: - A request names the digests of the routes and organisations in force. The member reports RouteDifference and OrganisationDifference if its history (names of what the last 16 versions changed, 512 KiB) contains that version, otherwise the whole tables. Texts of 1 KiB and more are compressed (zlib, Base64) and made once for all subscribers of the same version. The receiver decompresses 1 MiB at most. - A difference is applied only if the digest of the result is right; otherwise it is refused and the whole table is asked for. Routes are reported by a difference only with, or to holders of, their organisations. - Unchanged routes are shared between tables. The version in ROUTE is therefore that of the sender's organisations; a member looks an unknown organisation up again with each table, and a denied link is told its route again. - The next request is sent after the whole report is applied; it could be sent while the routes were not in force yet, and was answered with the same tables again.

Tests: PoolOptions::feedDifferences = false stands for an instance of an earlier release. Two KeyFeed tests for routes that do not fit into a message use it, because a difference of such a table fits; MembersPassOnWhatTheyWereTold now runs both ways. LinksAreNotToldAnUnchangedRouteAgain fails without the sharing, NewOrganisationIsServedByAMemberThatIsBehind without the version in ROUTE.

--- a/src/catalog/route.h
+++ b/src/catalog/route.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace Jujubekeel {
 
@@ -27,7 +28,19 @@
     Duration latencyObjective = std::chrono::milliseconds(500); ///< from arrival to reply; slower statements are logged
     std::uint32_t priority = 0;                                 ///< 0 is the highest
     bool isPublic = false;                                      ///< callers need no key
-    std::uint64_t version = 0; ///< version of the configuration that contains the route
+    /// Version of the configuration with which this instance received the route in its present form. Later versions that
+    /// do not change the route share it.
+    std::uint64_t version = 0;
+
+    /// Whether all fields but the version are equal.
+    [[nodiscard]] bool hasSameContent(const Route &other) const
+    {
+        const auto content = [](const Route &route) {
+            return std::tie(route.name, route.database, route.service, route.consistency, route.maxStaleness,
+                            route.statementTimeout, route.latencyObjective, route.priority, route.isPublic);
+        };
+        return content(*this) == content(other);
+    }
 };
 
 } // namespace Jujubekeel
--- a/src/catalog/routetable.cpp
+++ b/src/catalog/routetable.cpp
@@ -5,6 +5,11 @@
 
 namespace Jujubekeel {
 
+RouteTable::RouteTable(std::uint64_t version, const RouteTable &earlier)
+    : tableVersion(version), routes(earlier.routes), services(earlier.services), idleLimit(earlier.idleLimit)
+{
+}
+
 void RouteTable::addRoute(Route route)
 {
     route.version = this->tableVersion;
@@ -12,6 +17,39 @@
     this->routes.insert_or_assign(std::move(database), std::make_shared<const Route>(std::move(route)));
 }
 
+void RouteTable::shareRoute(std::shared_ptr<const Route> route)
+{
+    std::string database = route->database;
+    this->routes.insert_or_assign(std::move(database), std::move(route));
+}
+
+bool RouteTable::removeRoute(std::string_view database)
+{
+    const auto found = this->routes.find(database);
+    if (found == this->routes.end())
+        return false;
+    this->routes.erase(found);
+    return true;
+}
+
+bool RouteTable::removeService(std::string_view name)
+{
+    const auto found = this->services.find(name);
+    if (found == this->services.end())
+        return false;
+    this->services.erase(found);
+    return true;
+}
+
+void RouteTable::shareRoutesOf(const RouteTable &earlier)
+{
+    for (auto &[database, route] : this->routes) {
+        const auto found = earlier.routes.find(database);
+        if (found != earlier.routes.end() && found->second != route && found->second->hasSameContent(*route))
+            route = found->second;
+    }
+}
+
 void RouteTable::addService(std::string name, ServiceLimits limits)
 {
     this->services.insert_or_assign(std::move(name), limits);
--- a/src/catalog/routetable.h
+++ b/src/catalog/routetable.h
@@ -23,12 +23,24 @@
     {
         std::uint32_t maxConnections = 20; ///< of each backend server of the service, for all instances together
         std::uint32_t syncReplicas = 0;    ///< replicas that have received a commit before it is acknowledged
+        bool operator==(const ServiceLimits &) const = default;
     };
 
     explicit RouteTable(std::uint64_t version = 0) : tableVersion(version) {}
+    /// A table with the content of \a earlier apart from its organisations, as the start of a later version.
+    RouteTable(std::uint64_t version, const RouteTable &earlier);
 
     /// Adds a route; a later route for the same database replaces the earlier one.
     void addRoute(Route route);
+    /// Adds a route that another version of the table also contains.
+    void shareRoute(std::shared_ptr<const Route> route);
+    /// Returns false if there is no route for the database.
+    [[nodiscard]] bool removeRoute(std::string_view database);
+    /// Returns false if there is no such service.
+    [[nodiscard]] bool removeService(std::string_view name);
+    /// Takes those routes over from \a earlier that are equal apart from their version, so that what was derived from them
+    /// stays valid.
+    void shareRoutesOf(const RouteTable &earlier);
     void addService(std::string name, ServiceLimits limits);
     void setTransactionIdleLimit(Duration limit) { this->idleLimit = limit; }
     void setOrganisations(std::shared_ptr<const OrganisationTable> table)
--- a/src/organisations/keydigest.h
+++ b/src/organisations/keydigest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -19,10 +20,14 @@
     [[nodiscard]] static KeyDigest ofKey(std::string_view key);
     /// Lower-case hexadecimal digits.
     [[nodiscard]] std::string toHex() const;
+    [[nodiscard]] std::string_view toBytes() const
+    {
+        return {reinterpret_cast<const char *>(this->bytes.data()), this->bytes.size()};
+    }
     /// Empty if \a hex is not the result of toHex().
     [[nodiscard]] static std::optional<KeyDigest> fromHex(std::string_view hex);
 
-    bool operator==(const KeyDigest &) const = default;
+    auto operator<=>(const KeyDigest &) const = default;
 
     struct Hash
     {
--- a/src/pool/dispatchsystem.cpp
+++ b/src/pool/dispatchsystem.cpp
@@ -328,10 +328,14 @@
     if (link.relayedRoute == session.route && link.relayedMark == session.mark
         && link.relayedOrganisation == session.organisationName())
         return;
+    this->world.counters.add("jujubekeel_pool_routes_announced_total");
     link.relayedRoute = session.route;
     link.relayedMark = session.mark;
     link.relayedOrganisation = session.organisationName();
     RelayedRoute relayed{.route = *session.route, .organisation = link.relayedOrganisation};
+    // The organisation was checked against the newest tables, while the route may be shared by several versions.
+    relayed.route.version = std::max(this->world.routes ? this->world.routes->version() : 0,
+                                     this->world.organisations ? this->world.organisations->version() : 0);
     if (session.mark != LogPosition{})
         relayed.mark = session.mark;
     this->links.send(linkId, ExchangeKind::Setup,
--- a/src/pool/feedpublisher.cpp
+++ b/src/pool/feedpublisher.cpp
@@ -16,6 +16,7 @@
         this->refuse(session, "invalid request for changes");
         return;
     }
+    this->history.update();
     std::erase_if(this->held, [&](const Subscription &other) { return other.session == session; });
     const Subscription subscription{.session = session, .request = *request, .since = this->world.now};
     if (this->answer(subscription))
@@ -26,6 +27,7 @@
 
 void FeedPublisher::publish()
 {
+    this->history.update();
     std::erase_if(this->held, [this](const Subscription &subscription) {
         return !this->world.sessions.contains(subscription.session) || this->answer(subscription);
     });
@@ -55,12 +57,9 @@
 
     FeedUpdate update{.verifiedAfter = this->registration.viewReadAt() - subscription.since,
                       .routeVersion = version,
-                      .routes = newRoutes ? this->world.routes : nullptr,
                       .organisationVersion = organisationVersion,
                       .memberRevision = view.revision(),
                       .memberEra = view.version().era};
-    if (newOrganisations && !(newRoutes && this->world.routes->organisations() == this->world.organisations))
-        update.organisations = this->world.organisations;
     if (newMembers) {
         update.members.emplace();
         for (const auto &[instance, member] : view.members())
@@ -68,10 +67,17 @@
                                                   .revision = member.version.revision,
                                                   .content = member.record.toText()});
     }
+    const std::size_t limit = this->textLimit();
+    const FeedHistory::Wanted wanted{.routes = newRoutes, .organisations = newOrganisations};
+    std::string text = update.toTextWith(this->history.tablesText(known, wanted, limit));
+    if (text.size() > limit && (newRoutes || newOrganisations)) {
+        const std::size_t headSize = update.toTextWith({}).size();
+        text = update.toTextWith(this->history.tablesText(known, wanted, limit - std::min(limit, headSize)));
+    }
     this->world.counters.add("jujubekeel_pool_feed_answers_total");
-    this->world.emit(
-        ReplyToCaller{.session = subscription.session,
-                      .reply = CallerReply{.rows = {update.toText(this->textLimit())}, .digest = {}, .error = {}}});
+    this->world.counters.add("jujubekeel_pool_feed_bytes_total", text.size());
+    this->world.emit(ReplyToCaller{.session = subscription.session,
+                                   .reply = CallerReply{.rows = {std::move(text)}, .digest = {}, .error = {}}});
     return true;
 }
 
--- a/src/pool/feedpublisher.h
+++ b/src/pool/feedpublisher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "pool/feedhistory.h"
 #include "pool/feedrequest.h"
 #include "pool/poolids.h"
 
@@ -19,7 +20,7 @@
 {
 public:
     FeedPublisher(PoolWorld &poolWorld, const RegistrationSystem &registrationSystem)
-        : world(poolWorld), registration(registrationSystem)
+        : world(poolWorld), registration(registrationSystem), history(poolWorld)
     {
     }
 
@@ -45,6 +46,7 @@
 
     PoolWorld &world;
     const RegistrationSystem &registration;
+    FeedHistory history;
     std::vector<Subscription> held;
 };
 
--- a/src/pool/feedrequest.h
+++ b/src/pool/feedrequest.h
@@ -15,6 +15,11 @@
     /// Newest version that was reported without its routes, because they are too large for an answer; 0: none. It is not
     /// reported again.
     std::uint64_t announcedVersion = 0;
+    /// Digests of the routes and organisations in force. Differences from these versions are wanted; 0: the whole tables
+    /// are, as by instances of earlier releases.
+    std::uint64_t routeDigest = 0;
+    std::uint64_t organisationDigest = 0;
+    bool acceptsCompressed = false;   ///< tables may be compressed
     bool wantsMembers = true;         ///< false: the instance reads the fleet's members from the store only
     std::uint64_t memberRevision = 0; ///< of FleetView::memberVersion()
     std::uint64_t memberEra = 0;      ///< of FleetView::memberVersion()
--- a/src/pool/feedsubscriber.cpp
+++ b/src/pool/feedsubscriber.cpp
@@ -32,6 +32,8 @@
 
 void FeedSubscriber::advance()
 {
+    if (this->applying)
+        return;
     const LinkRow *open = this->world.links.find(this->link);
     if (!this->wantsReports()) {
         if (open != nullptr)
@@ -95,10 +97,14 @@
     this->link = freeLink;
     this->source = this->world.servers.at(this->world.links.at(freeLink).server).entry.id;
     const FleetView &view = this->registration.fleet();
+    const bool wantsDifferences = this->world.options.feedDifferences && !this->wantsWholeTables;
     const FeedRequest request{.routeVersion = this->world.routes ? this->world.routes->version() : 0,
                               .organisationVersion =
                                   this->world.organisations ? this->world.organisations->version() : 0,
                               .announcedVersion = this->announcedVersion,
+                              .routeDigest = wantsDifferences ? this->world.routesDigest : 0,
+                              .organisationDigest = wantsDifferences ? this->world.organisationsDigest : 0,
+                              .acceptsCompressed = wantsDifferences,
                               .wantsMembers = this->wantsMembers(),
                               .memberRevision = view.memberVersion().revision,
                               .memberEra = view.memberVersion().era,
@@ -117,6 +123,7 @@
     // The link is free before the callbacks, which may remove the member.
     this->dispatch.releaseLink(answered);
     if (exchange.error || !update) {
+        this->wantsWholeTables = this->wantsWholeTables || !exchange.error;
         this->leaveSource(exchange.error ? exchange.error->text : "invalid answer");
         this->advance();
         return;
@@ -124,21 +131,16 @@
 
     // Apply the report. What is older than the own state is ignored by those who own that state.
     const TimePoint verified = exchange.sentAt + update->verifiedAfter;
-    this->reportedVersion = std::max(this->reportedVersion, update->routeVersion);
-    if (!update->routes)
-        this->announcedVersion = std::max(this->announcedVersion, update->routeVersion);
-    if (!update->routes && !update->organisations)
-        this->announcedVersion = std::max(this->announcedVersion, update->organisationVersion);
+    // A request that is sent before the tables are in force would be answered with the same tables again.
+    this->applying = true;
     if (update->members && this->wantsMembers())
         this->callbacks.members(FleetUpdate{.complete = true,
                                             .reported = true,
                                             .objects = *update->members,
                                             .revision = update->memberRevision,
                                             .era = update->memberEra});
-    if (update->routes)
-        this->callbacks.routes(update->routes);
-    if (update->organisations)
-        this->callbacks.organisations(update->organisations);
+    this->applyTables(*update);
+    this->applying = false;
     if (this->world.now - verified > this->world.options.feedMaxAge) {
         this->leaveSource("its view of the store is out of date");
     } else {
@@ -149,6 +151,63 @@
     this->advance();
 }
 
+std::optional<FeedSubscriber::ReportedTables> FeedSubscriber::tablesOf(const FeedUpdate &update) const
+{
+    const auto versionOf = [](const auto &table) { return table ? table->version() : 0; };
+    ReportedTables tables{.routes = update.routes, .organisations = update.organisations};
+    const OrganisationDifference *organisations = update.organisationDifference.get();
+    if (organisations != nullptr && organisations->version > versionOf(this->world.organisations)) {
+        if (this->world.organisations)
+            tables.organisations = organisations->appliedTo(*this->world.organisations);
+        if (!tables.organisations)
+            return std::nullopt;
+    }
+    const RouteDifference *routes = update.routeDifference.get();
+    if (routes == nullptr || routes->version <= versionOf(this->world.routes))
+        return tables;
+    const auto &newest = versionOf(tables.organisations) > versionOf(this->world.organisations)
+                             ? tables.organisations
+                             : this->world.organisations;
+    // Routes without the organisations of their version would keep withdrawn keys valid.
+    if (!this->world.routes || versionOf(newest) < update.organisationVersion)
+        return std::nullopt;
+    const auto applied = routes->appliedTo(*this->world.routes);
+    if (!applied)
+        return std::nullopt;
+    applied->setOrganisations(newest);
+    tables.routes = applied;
+    return tables;
+}
+
+void FeedSubscriber::applyTables(const FeedUpdate &update)
+{
+    const auto tables = this->tablesOf(update);
+    if (!tables) {
+        this->world.counters.add("jujubekeel_pool_feed_differences_refused_total");
+        this->world.log(LogLevel::Info, "feed-difference-refused",
+                        {{"member", this->source},
+                         {"version", std::to_string(update.routeVersion)},
+                         {"inForce", std::to_string(this->world.routes ? this->world.routes->version() : 0)}});
+        if (this->wantsWholeTables)
+            this->leaveSource("differences in place of whole tables");
+        this->wantsWholeTables = true;
+        return;
+    }
+    const bool hasRoutes = update.routes || update.routeDifference;
+    const bool hasOrganisations = update.organisations || update.organisationDifference;
+    if (hasRoutes || hasOrganisations)
+        this->wantsWholeTables = false;
+    this->reportedVersion = std::max(this->reportedVersion, update.routeVersion);
+    if (!hasRoutes)
+        this->announcedVersion = std::max(this->announcedVersion, update.routeVersion);
+    if (!hasRoutes && !hasOrganisations)
+        this->announcedVersion = std::max(this->announcedVersion, update.organisationVersion);
+    if (tables->routes)
+        this->callbacks.routes(tables->routes);
+    if (tables->organisations)
+        this->callbacks.organisations(tables->organisations);
+}
+
 void FeedSubscriber::leaveSource(const std::string &reason)
 {
     this->pausedUntil[this->source] = this->world.now + this->world.options.feedSourcePause;
--- a/src/pool/feedsubscriber.h
+++ b/src/pool/feedsubscriber.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Jujubekeel {
@@ -16,6 +17,7 @@
 class OrganisationTable;
 class RegistrationSystem;
 class RouteTable;
+struct FeedUpdate;
 struct FleetUpdate;
 struct PoolWorld;
 
@@ -55,6 +57,15 @@
     [[nodiscard]] bool wantsMembers() const;
     /// The member to ask; invalid if there is none.
     [[nodiscard]] ServerId chooseSource() const;
+    struct ReportedTables
+    {
+        std::shared_ptr<const RouteTable> routes;               ///< null: none
+        std::shared_ptr<const OrganisationTable> organisations; ///< null: none
+    };
+    /// The tables that a report contains or describes by differences. Empty if a difference does not apply to the tables
+    /// in force.
+    [[nodiscard]] std::optional<ReportedTables> tablesOf(const FeedUpdate &update) const;
+    void applyTables(const FeedUpdate &update);
     void leaveSource(const std::string &reason);
     void sendRequest(LinkId freeLink);
     [[nodiscard]] Duration fallbackAfter() const;
@@ -70,6 +81,8 @@
     TimePoint verifiedAt{0};            ///< the reports reflect the store at this time or later; 0: no report yet
     TimePoint relayingSince{0};         ///< 0: not relaying
     bool reported = false;              ///< hasReport()
+    bool applying = false;              ///< a report is being applied; the next request waits for its end
+    bool wantsWholeTables = false;      ///< a difference did not apply, or a report could not be read
     std::uint64_t reportedVersion = 0;  ///< highest version of the configuration that a member reported
     std::uint64_t announcedVersion = 0; ///< FeedRequest::announcedVersion
 };
--- a/src/pool/feedupdate.h
+++ b/src/pool/feedupdate.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "catalog/routetable.h"
+#include "catalog/organisationdifference.h"
+#include "catalog/routedifference.h"
 #include "core/time.h"
 #include "leadership/fleetmessages.h"
 
@@ -26,6 +27,9 @@
     /// Organisations that are not those of `routes`, because the routes are too large or the member itself has heard of
     /// the organisations only; null: none.
     std::shared_ptr<const OrganisationTable> organisations;
+    /// In place of `routes` and `organisations`, for a receiver with an earlier version; null: none.
+    std::shared_ptr<const RouteDifference> routeDifference;
+    std::shared_ptr<const OrganisationDifference> organisationDifference;
     std::uint64_t memberRevision = 0;
     std::uint64_t memberEra = 0;
     std::optional<std::vector<FleetObject>> members; ///< all members, if they differ from those of the receiver
@@ -33,6 +37,12 @@
     /// JSON text without line breaks. Leaves out all routes but not their organisations if it would be longer than
     /// \a limit bytes.
     [[nodiscard]] std::string toText(std::size_t limit) const;
+    /// The same with the given tables in place of the own ones.
+    [[nodiscard]] std::string toTextWith(std::string_view tables) const;
+    /// The tables alone, which are the same for all receivers with the same versions: members of a JSON object, with a
+    /// comma before each. At most \a limit bytes before they are compressed; leaves out what toText() does. Compressed
+    /// only if that is shorter.
+    [[nodiscard]] std::string tablesText(std::size_t limit, bool compressed) const;
     /// Empty if \a text is invalid.
     [[nodiscard]] static std::optional<FeedUpdate> fromText(std::string_view text);
 };
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -1,5 +1,7 @@
 #include "pool/poolcore.h"
 
+#include "catalog/tabledigest.h"
+
 #include <utility>
 
 namespace Jujubekeel {
@@ -159,7 +161,14 @@
     const std::uint64_t current = this->world.routes ? this->world.routes->version() : 0;
     if (routes->version() <= current)
         return;
+    if (this->world.routes) {
+        // Links on which a route was announced are not told it again unless it has changed.
+        auto shared = std::make_shared<RouteTable>(*routes);
+        shared->shareRoutesOf(*this->world.routes);
+        routes = std::move(shared);
+    }
     this->world.routes = std::move(routes);
+    this->world.routesDigest = digestOf(*this->world.routes);
     this->world.log(LogLevel::Info, "configuration-in-force",
                     {{"version", std::to_string(this->world.routes->version())},
                      {"earlier", std::to_string(current)},
@@ -198,6 +207,7 @@
     if (!organisations || organisations->version() <= current)
         return;
     this->world.organisations = organisations;
+    this->world.organisationsDigest = digestOf(*organisations);
     this->world.log(LogLevel::Info, "organisations-in-force",
                     {{"version", std::to_string(organisations->version())},
                      {"earlier", std::to_string(current)},
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -55,6 +55,8 @@
     Duration relaySilence = std::chrono::milliseconds(500); ///< a member without an answer for this long is used last
 
     // Configuration and members of the fleet, as members report them to relaying instances.
+    bool feedDifferences =
+        true; ///< what changed is asked for, and compressed; false: whole tables, as earlier releases
     Duration feedHold = std::chrono::milliseconds(700);          ///< without news a request is answered after this time
     Duration feedAnswerTimeout = std::chrono::milliseconds(600); ///< added to feedHold; then another member is asked
     Duration feedMaxAge = std::chrono::milliseconds(1500);       ///< a member with an older view of the store is left
@@ -63,6 +65,8 @@
     Duration feedSourcePause = std::chrono::seconds(2);  ///< a member that has failed is not asked again before
     std::size_t feedTextLimit = std::size_t{256} * 1024; ///< bytes; a larger configuration is read from the store
     std::size_t feedTextLimitWithKeys = std::size_t{960} * 1024; ///< the same if callers need keys; messages are 1 MiB
+    std::uint32_t feedHistoryVersions = 16;                 ///< earlier versions from which differences can be reported
+    std::size_t feedHistoryBytes = std::size_t{512} * 1024; ///< of the names of what they changed
 
     Duration queueWait = std::chrono::milliseconds(800);    ///< wait for a connection before Busy
     Duration primaryWait = std::chrono::milliseconds(1800); ///< the same while the primary is unavailable
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -48,6 +48,8 @@
     /// Newest organisations that this instance knows, at least of the version of `routes`; null: the configuration
     /// names none.
     std::shared_ptr<const OrganisationTable> organisations;
+    std::uint64_t routesDigest = 0;        ///< digestOf() `routes`; 0: there are none
+    std::uint64_t organisationsDigest = 0; ///< digestOf() `organisations`; 0: there are none
     /// Failure domain of the primary of a service, as members last reported it to this relaying instance. Only used to
     /// choose near members, so that an outdated one costs time but no correctness.
     std::unordered_map<std::string, std::string> primaryDomainOf;
--- a/src/pool/relayedroute.h
+++ b/src/pool/relayedroute.h
@@ -13,7 +13,7 @@
 /// work if it differs from what was last sent.
 struct RelayedRoute
 {
-    Route route;
+    Route route; ///< its version is that of the configuration against which the organisation was checked
     std::optional<LogPosition> mark; ///< log position of the session's newest commit
     std::string organisation;        ///< in whose name the work runs; empty: none
 
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -26,6 +26,10 @@
 {
     LinkRow &link = this->world.links.at(linkId);
     this->recordSample(linkId, completed);
+    // The member has heard of a newer configuration, after which this instance may know a still newer one that contains
+    // the organisation again.
+    if (completed.exchange.error && completed.exchange.error->code == OutcomeCode::Denied)
+        link.relayedRoute = nullptr;
     switch (completed.exchange.kind) {
     case ExchangeKind::Setup:
         if (completed.exchange.error) {
--- a/src/pool/sessionsystem.cpp
+++ b/src/pool/sessionsystem.cpp
@@ -185,10 +185,11 @@
 void SessionSystem::reviewRelayed(SessionId id)
 {
     SessionRow &session = this->world.sessions.at(id);
-    if (!session.organisation || session.organisationUnknown)
+    if (!session.organisation)
         return;
+    const bool wasUnknown = session.organisationUnknown;
     this->useOrganisation(session, std::string(session.organisationName()));
-    if (!session.organisationUnknown)
+    if (!session.organisationUnknown || wasUnknown)
         return;
     this->world.counters.add("jujubekeel_pool_relayed_organisations_unknown_total");
     if (session.work && !session.work->isQueued())
@@ -491,10 +492,11 @@
     if (session.organisation)
         return;
     // The instance that relays the work may have a newer configuration, which it has checked the key against.
-    if (this->world.organisations && this->world.organisations->version() >= session.route->version)
-        session.organisationUnknown = true;
-    else
-        session.organisation = std::make_shared<const Organisation>(Organisation{.name = name});
+    session.organisationUnknown =
+        this->world.organisations && this->world.organisations->version() >= session.route->version;
+    // The name is kept also if it is unknown: a later configuration may contain it again, and the relaying instance does
+    // not repeat what it has announced.
+    session.organisation = std::make_shared<const Organisation>(Organisation{.name = name});
 }
 
 void SessionSystem::begin(SessionId id, const Statement &statement)
--- a/tests/platform/decoderfuzztest.cpp
+++ b/tests/platform/decoderfuzztest.cpp
@@ -1,5 +1,8 @@
 #include "catalog/boundedjson.h"
 #include "catalog/jsonslices.h"
+#include "catalog/tablechanges.h"
+#include "catalog/tabledigest.h"
+#include "core/compressedtext.h"
 #include "leadership/leadershiprecord.h"
 #include "leadership/memberrecord.h"
 #include "linecodec.h"
@@ -183,6 +186,54 @@
         const auto decoded = FeedUpdate::fromText(text);
         RC_ASSERT((!decoded || FeedUpdate::fromText(decoded->toText(100000)).has_value()));
     });
+    auto later = std::make_shared<RouteTable>(5);
+    later->addRoute(Route{.name = "r", .database = "db2", .service = "s"});
+    OrganisationTable organisations(5);
+    organisations.add({.name = "guild", .limit = RateLimit{.operationsPerSecond = 2}},
+                      std::vector{KeyDigest::ofKey("a")});
+    const FeedUpdate differences{
+        .routeVersion = 5,
+        .routeDifference = std::make_shared<const RouteDifference>(
+            RouteDifference::make(4, TableChanges::between(*routes, *later), *later, digestOf(*later))),
+        .organisationDifference = std::make_shared<const OrganisationDifference>(OrganisationDifference::make(
+            4, TableChanges::between(OrganisationTable(4), organisations), organisations, digestOf(organisations)))};
+    const auto decode = [&](const std::string &text) {
+        const auto decoded = FeedUpdate::fromText(text);
+        if (decoded && decoded->routeDifference) {
+            const auto applied = decoded->routeDifference->appliedTo(*routes);
+            RC_ASSERT((!applied || digestOf(*applied) == decoded->routeDifference->digest));
+        }
+        if (decoded && decoded->organisationDifference)
+            static_cast<void>(decoded->organisationDifference->appliedTo(OrganisationTable(4)));
+        RC_ASSERT((!decoded || FeedUpdate::fromText(decoded->toText(100000)).has_value()));
+    };
+    fuzz(differences.toText(100000), decode);
+    // Compressed reports, damaged before and after compression.
+    for (int index = 0; index < 30; ++index)
+        later->addRoute(Route{.name = "r", .database = "d" + std::to_string(index), .service = "s"});
+    const std::string compressed = FeedUpdate{.routes = later}.tablesText(100000, true);
+    ASSERT_NE(compressed.find("compressed"), std::string::npos);
+    fuzz(FeedUpdate{}.toTextWith(compressed), decode);
+    fuzz("{" + differences.tablesText(100000, false).substr(1) + "}", [&](const std::string &text) {
+        decode(FeedUpdate{}.toTextWith(",\"compressed\":{\"size\":" + std::to_string(text.size()) + ",\"zlib\":\""
+                                       + compressText(text) + "\"}"));
+    });
+}
+
+// Guards against a report that expands to more than a message may hold: the size is checked before anything is
+// decompressed.
+TEST(DecoderFuzz, ReportsThatExpandTooFarAreRejected)
+{
+    const auto reportOf = [](std::size_t size) {
+        const std::string text = "{" + std::string(size - 2, ' ') + "}";
+        return FeedUpdate{}.toTextWith(",\"compressed\":{\"size\":" + std::to_string(size) + ",\"zlib\":\""
+                                       + compressText(text) + "\"}");
+    };
+    constexpr std::size_t bound = std::size_t{1024} * 1024;
+    EXPECT_TRUE(FeedUpdate::fromText(reportOf(bound)));
+    EXPECT_FALSE(FeedUpdate::fromText(reportOf(bound + 1)));
+    EXPECT_FALSE(FeedUpdate::fromText(
+        FeedUpdate{}.toTextWith(R"(,"compressed":{"size":18446744073709551615,"zlib":"eAEAAAD//wAAAAE="})")));
 }
 
 TEST(DecoderFuzz, LinesOfCallersAndServers)
--- a/tests/pool/feedtest.cpp
+++ b/tests/pool/feedtest.cpp
@@ -152,6 +152,42 @@
     EXPECT_TRUE(fleet.everyoneHas(2));
 }
 
+// Guards against the links of all instances being told each route again after every change of the configuration: the
+// statements behind the announcements wait for them.
+TEST(Feed, LinksAreNotToldAnUnchangedRouteAgain)
+{
+    FeedFleet fleet;
+    const std::size_t instance = fleet.relaying.front();
+    const auto announced = [&] {
+        return fleet.pool.core(instance)->state().counters.value("jujubekeel_pool_routes_announced_total");
+    };
+    const auto caller = *fleet.pool.openCaller(instance, VirtualPool::boundedRoute);
+    const auto read = [&](const std::string &id) {
+        EXPECT_FALSE(runStatement(fleet.pool, caller, StatementKind::Read, id, "READ item").error);
+    };
+    // Requests for reports take turns on the links, so that several of them carry the reads.
+    for (int round = 0; round < 10; ++round) {
+        read("r1-" + std::to_string(round));
+        fleet.pool.run(milliseconds(300));
+    }
+    const std::uint64_t before = announced();
+    EXPECT_GT(before, 0U);
+    // Another database is removed; first as a difference, then in a table that is read from the store.
+    fleet.pool.publishRoutes(2, {VirtualPool::boundedRoute, VirtualPool::ownRoute});
+    fleet.pool.run(milliseconds(100));
+    ASSERT_EQ(fleet.version(instance), 2U);
+    read("r2");
+    EXPECT_EQ(announced(), before);
+    for (const std::size_t member : fleet.members)
+        fleet.pool.setStoreReachable(member, false);
+    fleet.pool.run(milliseconds(100));
+    fleet.pool.publishRoutes(3, {VirtualPool::boundedRoute});
+    fleet.pool.run(milliseconds(3200));
+    ASSERT_EQ(fleet.version(instance), 3U);
+    read("r3");
+    EXPECT_EQ(announced(), before);
+}
+
 // Guards against a session being refused because it was opened before the first configuration was read: after a loss
 // of power callers return as soon as the machines accept connections.
 TEST(Feed, SessionOpenedBeforeTheConfigurationIsServed)
--- a/tests/pool/keyfeedtest.cpp
+++ b/tests/pool/keyfeedtest.cpp
@@ -4,6 +4,7 @@
 #include "virtualpool/poolfaults.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Jujubekeel {
 
@@ -22,7 +23,7 @@
 /// Nine instances in three failure domains; one in each domain is a member, the others relay.
 struct KeyFleet : KeyPool
 {
-    explicit KeyFleet(std::size_t fillerRoutes = 0) : KeyPool(largeFleetOptions(1))
+    explicit KeyFleet(std::size_t fillerRoutes = 0, bool differences = true) : KeyPool(optionsWith(differences))
     {
         this->pool.setFillerRoutes(fillerRoutes);
         this->run(seconds(5));
@@ -30,6 +31,12 @@
             (this->pool.core(instance)->state().isRelaying() ? this->relaying : this->members).push_back(instance);
         EXPECT_EQ(this->members.size(), 3U);
     }
+    static VirtualPoolOptions optionsWith(bool differences)
+    {
+        VirtualPoolOptions options = largeFleetOptions(1);
+        options.pool.feedDifferences = differences;
+        return options;
+    }
     void setStoreReachable(const std::vector<std::size_t> &instances, bool reachable)
     {
         for (const std::size_t instance : instances)
@@ -77,7 +84,7 @@
 // Guards against the same where the routes do not fit into a message.
 TEST(KeyFeed, OrganisationsPassWithoutRoutesThatAreTooLarge)
 {
-    KeyFleet fleet(manyRoutes);
+    KeyFleet fleet(manyRoutes, false);
     const auto callers = fleet.openEverywhere();
     fleet.setStoreReachable(fleet.relaying, false);
     fleet.setStoreReachable({fleet.members[0], fleet.members[1]}, false);
@@ -92,12 +99,76 @@
     EXPECT_EQ(fleet.pool.core(fleet.relaying[0])->state().routes->version(), 2U);
 }
 
+// Guards against an instance keeping a configuration for which a report of differences was not made: a member reads one
+// version itself while another member reports what differs from the version before.
+TEST(KeyFeed, DifferenceFromAnotherVersionIsReplacedByTheWholeTable)
+{
+    KeyFleet fleet(50);
+    const auto refused = [&](std::size_t instance) {
+        return fleet.counter(instance, "jujubekeel_pool_feed_differences_refused_total");
+    };
+    const auto callers = fleet.openEverywhere();
+    const std::size_t ahead = fleet.members[0];
+    fleet.setStoreReachable({fleet.members[1], fleet.members[2]}, false);
+    fleet.publish(2, {{"guild", {KeyPool::guildKey}}});
+    fleet.run(milliseconds(2));
+    fleet.setStoreReachable({ahead}, false);
+    fleet.setStoreReachable({fleet.members[1], fleet.members[2]}, true);
+    fleet.publish(3, parishOnly);
+    fleet.run(milliseconds(100));
+    EXPECT_EQ(refused(ahead), 1U);
+    EXPECT_EQ(fleet.pool.core(ahead)->state().routes->version(), 3U);
+    EXPECT_EQ(fleet.organisationVersion(ahead), 3U);
+    fleet.run(revocationLimit);
+    fleet.expectEnded(callers);
+    EXPECT_EQ(refused(ahead), 1U);
+}
+
+// Guards against work being denied on a link because its organisation, which was announced there, had been out of the
+// configuration meanwhile.
+TEST(KeyFeed, OrganisationThatReturnsIsServedOnTheSameLink)
+{
+    KeyFleet fleet;
+    const auto first = fleet.open(KeyPool::guildKey, fleet.relaying[0]);
+    EXPECT_FALSE(fleet.write(first, "w1").error);
+    fleet.publish(2, parishOnly);
+    fleet.run(seconds(1));
+    EXPECT_TRUE(fleet.hasEnded(first));
+    fleet.publish(3, KeyPool::bothOrganisations());
+    fleet.run(seconds(1));
+    const auto second = fleet.open(KeyPool::guildKey, fleet.relaying[0]);
+    EXPECT_FALSE(fleet.write(second, "w2").error);
+    EXPECT_EQ(fleet.ranAs.at("w2"), "guild");
+}
+
+// Guards against a member denying the work of an organisation that a newer configuration has added, which the relaying
+// instance knows already: the route is older than the organisation.
+TEST(KeyFeed, NewOrganisationIsServedByAMemberThatIsBehind)
+{
+    KeyFleet fleet;
+    for (const std::size_t member : fleet.members)
+        fleet.pool.setStoreReachable(member, false);
+    fleet.pool.run(milliseconds(100));
+    KeyLists lists = KeyPool::bothOrganisations();
+    lists["abbey"] = {"k3ysecret-abbey"};
+    fleet.publish(2, lists);
+    std::optional<VirtualPool::CallerId> caller;
+    for (int step = 0; step < 4000 && !caller; ++step) {
+        fleet.run(milliseconds(1));
+        if (fleet.organisationVersion(fleet.relaying[0]) == 2 && fleet.organisationVersion(fleet.members[0]) == 1)
+            caller = fleet.open("k3ysecret-abbey", fleet.relaying[0]);
+    }
+    ASSERT_TRUE(caller);
+    EXPECT_FALSE(fleet.read(*caller, "r1").error);
+}
+
 // Guards against a member that has learnt of organisations from another one not passing them on: the only instance that
 // has read the configuration may be out of reach for most others.
 TEST(KeyFeed, MembersPassOnWhatTheyWereTold)
 {
-    for (const std::size_t fillers : {std::size_t{0}, manyRoutes}) {
-        KeyFleet fleet(fillers);
+    for (const auto &[fillers, differences] :
+         {std::pair{std::size_t{0}, true}, {std::size_t{0}, false}, {manyRoutes, true}, {manyRoutes, false}}) {
+        KeyFleet fleet(fillers, differences);
         const auto callers = fleet.openEverywhere();
         fleet.setStoreReachable(fleet.relaying, false);
         fleet.setStoreReachable({fleet.members[1], fleet.members[2]}, false);
