jujubekeel-configcheck checks a configuration before it is sent

Cause: operators learnt of a wrong entry only from the log lines of instances that had already rejected or left it out, and of a key in two entries or a route that another replaces not at all.

Change: src/configcheck/ decides, without input or output: EntryCheck (entries that never have an effect), LimitCheck (limits against each other and against the size of the deployment), InForceCheck and ConfigurationDiff (against the version in force), all over the reading of the instances' own parser. NameMask keeps keys out of every text. The program reads the files and prints text or JSON; exit codes 0 to 3. CommandLine takes the exit status for usage errors, since 2 means errors in the configuration here. runProgram of the tests of jujubekeel-ctl moves to tests/support. add_module_library no longer takes over the list `sources` of its caller, which compiled src/intake into each module library.

--- a/src/programs/commandline/commandline.cpp
+++ b/src/programs/commandline/commandline.cpp
@@ -8,7 +8,9 @@
 
 namespace Jujubekeel {
 
-CommandLine::CommandLine(const std::string &usage, const std::string &version, int argumentCount, char **arguments)
+CommandLine::CommandLine(const std::string &usage, const std::string &version, int argumentCount, char **arguments,
+                         int errorExitStatus)
+    : errorStatus(errorExitStatus)
 {
     try {
         const std::vector<std::string> words(arguments + 1, arguments + argumentCount);
@@ -27,7 +29,7 @@
         std::cout << version << '\n';
         std::exit(0);
     } catch (const docopt::DocoptArgumentError &error) {
-        fail(error.what());
+        fail(error.what(), this->errorStatus);
     }
 }
 
@@ -55,7 +57,8 @@
     const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), result);
     if (error != std::errc{} || end != value.data() + value.size() || result < lowest || result > highest) {
         fail(name + " is \"" + value + "\"; expected a whole number from " + std::to_string(lowest) + " to "
-             + std::to_string(highest));
+                 + std::to_string(highest),
+             this->errorStatus);
     }
     return result;
 }
@@ -66,10 +69,10 @@
     return std::chrono::milliseconds(this->number(name, 0, maxMilliseconds));
 }
 
-void CommandLine::fail(const std::string &text)
+void CommandLine::fail(const std::string &text, int exitStatus)
 {
     std::cerr << text << "\nsee --help\n";
-    std::exit(2);
+    std::exit(exitStatus);
 }
 
 std::vector<std::string> splitList(const std::string &text)
--- a/src/programs/commandline/commandline.h
+++ b/src/programs/commandline/commandline.h
@@ -15,8 +15,11 @@
 class CommandLine final
 {
 public:
-    /// Prints help or version and exits with status 0 if one is requested; exits with status 2 on a usage error.
-    CommandLine(const std::string &usage, const std::string &version, int argumentCount, char **arguments);
+    static constexpr int usageError = 2; ///< usual exit status after a wrong command line
+
+    /// Prints help or version and exits with status 0 if one is requested; exits with \a errorExitStatus on a usage error.
+    CommandLine(const std::string &usage, const std::string &version, int argumentCount, char **arguments,
+                int errorExitStatus = usageError);
 
     /// True if the command or switch was given.
     [[nodiscard]] bool isGiven(const std::string &name) const;
@@ -24,15 +27,16 @@
     [[nodiscard]] std::string text(const std::string &name) const;
     /// All values of a repeatable option or argument.
     [[nodiscard]] std::vector<std::string> texts(const std::string &name) const;
-    /// Exits with status 2 if the value is not a whole number from \a lowest to \a highest.
+    /// Exits with the status of usage errors if the value is not a whole number from \a lowest to \a highest.
     [[nodiscard]] std::uint32_t number(const std::string &name, std::uint32_t lowest, std::uint32_t highest) const;
-    /// Value of an option in milliseconds; exits with status 2 if it is more than one hour.
+    /// Value of an option in milliseconds; exits with the status of usage errors if it is more than one hour.
     [[nodiscard]] Duration milliseconds(const std::string &name) const;
 
-    /// Prints an error and exits with status 2.
-    [[noreturn]] static void fail(const std::string &text);
+    /// Prints an error and exits.
+    [[noreturn]] static void fail(const std::string &text, int exitStatus = usageError);
 
 private:
+    int errorStatus;
     std::map<std::string, std::vector<std::string>> values;
 };
 
--- a/tests/ctl/ctlprogram.h
+++ b/tests/ctl/ctlprogram.h
@@ -1,17 +1,13 @@
 #pragma once
 
+#include "support/programrun.h"
+
 #include <string>
 #include <vector>
 
 namespace Jujubekeel {
 
-/// Exit status and output of a finished command.
-struct CommandResult
-{
-    int status = -1;
-    std::string output;
-    std::string errors;
-};
+using CommandResult = ProgramResult;
 
 /// Runs jujubekeel-ctl in \a directory and waits until it exits.
 [[nodiscard]] CommandResult runCtl(const std::vector<std::string> &arguments, const std::string &directory);
