--- a/tools/lib/fleet.sh
+++ b/tools/lib/fleet.sh
@@ -40,11 +40,12 @@
     exit $status
 }
 
-# start_process NAME COMMAND...: starts a process in the background with its output in a log file.
+# start_process NAME COMMAND...: starts a process in the background with its output in a log file, or in the one that the
+# variable process_output names.
 start_process() {
     local name=$1
     shift
-    "$@" >"$work/$name.log" 2>&1 &
+    "$@" >"${process_output:-$work/$name.log}" 2>&1 &
     fleet_pid_of[$name]=$!
     fleet_pids+=($!)
 }
--- a/tools/lib/statements.sh
+++ b/tools/lib/statements.sh
@@ -43,7 +43,8 @@
 }
 
 # start_entry NAME NUMBER: starts an entry instance and waits until it is ready for callers. The variable entry_settings
-# may hold further lines of its settings.
+# may hold further lines of its settings, the array entry_wrapper a command that starts the program.
+entry_wrapper=()
 start_entry() {
     local name=$1 network="$statement_network.1$2"
     cat >"$work/$name.yaml" <<SETTINGS
@@ -57,7 +58,7 @@
 CloudApi: { Address: "$store_address" }
 ${entry_settings:-}
 SETTINGS
-    start_process "$name" "$build/bin/jujubekeel-entry" --settings="$work/$name.yaml"
+    start_process "$name" "${entry_wrapper[@]}" "$build/bin/jujubekeel-entry" --settings="$work/$name.yaml"
     wait_until 20 curl -sf "http://$network:7201/api/readiness" || fail "$name was not ready within 20 s"
 }
 
