Survive exhausted descriptors and a log that nobody reads

Cause: while no descriptor was free, the listening socket of the HTTP listener stayed readable, and its watcher asked again at once. The log's thread blocked in a write to a full pipe, and the process waited for it at its end.

The log is written only while standard output takes a line; lines are cut to 4 KB and at most 2 MiB of them wait.

--- a/src/net/httplistener.cpp
+++ b/src/net/httplistener.cpp
@@ -52,6 +52,12 @@
 /// Limit of unread input, in bytes, that is discarded before a refused connection is closed.
 constexpr std::size_t drainLimit = std::size_t{4} * 1024 * 1024;
 
+/// Pause after a failed accept. While descriptors are exhausted, the listening socket stays readable and an accept would
+/// fail again at once.
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
+/// Longest wait of the watcher, which bounds the delay of time limits.
+constexpr Duration sweepInterval = std::chrono::milliseconds(500);
+
 std::atomic<std::uint64_t> nextExchange{1};
 
 Poco::Timespan toTimespan(Duration duration)
@@ -91,6 +97,8 @@
     std::deque<ConnectionPointer> workQueue;
     std::uint32_t activeRequests = 0; ///< connections from the start of a request to the end of its response
     std::uint64_t refused = 0;
+    std::uint64_t failedAccepts = 0;
+    TimePoint acceptPausedUntil{0}; ///< 0: connections are accepted; used by the watcher only
     bool accepting = true;
     bool stopping = false;
 };
@@ -147,6 +155,12 @@
     return this->state->refused;
 }
 
+std::uint64_t HttpListener::failedAccepts() const
+{
+    const std::scoped_lock lock(this->state->mutex);
+    return this->state->failedAccepts;
+}
+
 void HttpListener::start()
 {
     assert(this->workers.empty());
@@ -258,7 +272,11 @@
     std::array<epoll_event, 64> events{};
     TimePoint nextSweep = bootTime();
     while (true) {
-        const int count = epoll_wait(this->state->epoll, events.data(), static_cast<int>(events.size()), 500);
+        const bool paused = this->state->acceptPausedUntil.count() != 0;
+        const auto wait =
+            std::chrono::duration_cast<std::chrono::milliseconds>(paused ? acceptRetryDelay : sweepInterval);
+        const int count = epoll_wait(this->state->epoll, events.data(), static_cast<int>(events.size()),
+                                     static_cast<int>(wait.count()));
         std::vector<std::uint64_t> abandonedExchanges;
         bool acceptable = false;
         {
@@ -295,19 +313,53 @@
             this->disconnectHandler(exchangeId);
         if (acceptable)
             this->acceptConnections();
+        this->resumeAccepting();
         if (bootTime() >= nextSweep) {
             this->closeTimedOut();
-            nextSweep = bootTime() + std::chrono::milliseconds(500);
+            nextSweep = bootTime() + sweepInterval;
         }
     }
 }
 
+void HttpListener::watchServer(int operation)
+{
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = this->state->server.impl()->sockfd();
+    epoll_ctl(this->state->epoll, operation, event.data.fd, &event);
+}
+
+void HttpListener::pauseAccepting()
+{
+    const std::scoped_lock lock(this->state->mutex);
+    this->state->failedAccepts += 1;
+    // The connection that makes room is closed at once, and the socket is still readable.
+    if (this->replaceIdle())
+        return;
+    this->state->acceptPausedUntil = bootTime() + acceptRetryDelay;
+    this->watchServer(EPOLL_CTL_DEL);
+}
+
+void HttpListener::resumeAccepting()
+{
+    const std::scoped_lock lock(this->state->mutex);
+    if (this->state->acceptPausedUntil.count() == 0 || bootTime() < this->state->acceptPausedUntil)
+        return;
+    this->state->acceptPausedUntil = TimePoint{0};
+    if (this->state->accepting)
+        this->watchServer(EPOLL_CTL_ADD);
+}
+
 void HttpListener::acceptConnections()
 {
     while (true) {
         const int descriptor = ::accept4(this->state->server.impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
-        if (descriptor < 0)
+        if (descriptor < 0) {
+            // Other errors belong to a connection that has ended before it was accepted.
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+                this->pauseAccepting();
             return;
+        }
         const std::scoped_lock lock(this->state->mutex);
         auto connection = std::make_shared<Connection>();
         connection->socket = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(descriptor));
--- a/src/net/httplistener.h
+++ b/src/net/httplistener.h
@@ -85,6 +85,8 @@
 
     [[nodiscard]] const std::string &address() const { return this->boundAddress; } ///< with the actual port
     [[nodiscard]] std::size_t connectionCount() const;
+    /// Times that no connection could be accepted, for lack of descriptors or memory.
+    [[nodiscard]] std::uint64_t failedAccepts() const;
     /// Connections refused because of `maxConnections`.
     [[nodiscard]] std::uint64_t refusedConnections() const;
 
@@ -95,7 +97,11 @@
 
     void runWatcher();
     void runWorker();
+    /// Accepts the connections that wait; stops accepting for a while if that fails.
     void acceptConnections();
+    void watchServer(int operation);
+    void pauseAccepting();
+    void resumeAccepting();
     void readRequest(const ConnectionPointer &connection);
     void writeResponse(const ConnectionPointer &connection);
     void refuseRequest(const ConnectionPointer &connection, ResultCode code, const std::string &text);
--- a/src/net/logger.cpp
+++ b/src/net/logger.cpp
@@ -12,7 +12,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
+#include <climits>
 #include <cstdio>
 #include <ctime>
 
@@ -22,6 +27,12 @@
 
 namespace {
 
+/// A pipe that has room takes a line up to PIPE_BUF without blocking the writer.
+constexpr std::size_t maxLineBytes = PIPE_BUF - 1;
+/// Longest text of one byte in JSON.
+constexpr std::size_t maxEscapeBytes = 6;
+constexpr int outputPollMs = 100;
+
 const char *levelName(LogLevel level)
 {
     switch (level) {
@@ -83,6 +94,7 @@
     {
         const std::scoped_lock lock(this->mutex);
         this->stopping = true;
+        this->stopSince = bootTime();
     }
     this->changed.notify_all();
     this->writer.join();
@@ -94,6 +106,12 @@
     nlohmann::ordered_json line = lineHead(wallClock, level, instance, event);
     for (const auto &[name, value] : fields)
         line[name] = value;
+    std::string text = dumpLine(line);
+    if (text.size() <= maxLineBytes)
+        return text;
+    const std::size_t valueBytes = maxLineBytes / 2 / maxEscapeBytes / std::max<std::size_t>(fields.size(), 1);
+    for (const auto &[name, value] : fields)
+        line[name] = value.substr(0, valueBytes);
     return dumpLine(line);
 }
 
@@ -144,15 +162,29 @@
 {
     {
         const std::scoped_lock lock(this->mutex);
-        if (this->lines.size() >= this->options.queueLimit) {
+        if (this->lines.size() >= this->options.queueLimit
+            || this->queuedBytes + line.size() > this->options.queueBytes) {
             this->dropped += 1;
             return;
         }
+        this->queuedBytes += line.size();
         this->lines.push_back(std::move(line));
     }
     this->changed.notify_one();
 }
 
+bool Logger::awaitOutput()
+{
+    // A write to a full pipe would block until somebody reads it, and the process could not end.
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    while (::poll(&output, 1, outputPollMs) == 0) {
+        const std::scoped_lock lock(this->mutex);
+        if (this->stopping && bootTime() - this->stopSince >= this->options.stopWait)
+            return false;
+    }
+    return true;
+}
+
 void Logger::run()
 {
     std::deque<std::string> batch;
@@ -163,9 +195,13 @@
             if (this->lines.empty())
                 return;
             batch.swap(this->lines);
+            this->queuedBytes = 0;
         }
-        for (const std::string &line : batch)
+        for (const std::string &line : batch) {
+            if (!this->awaitOutput())
+                return;
             LOG(INFO) << line;
+        }
         batch.clear();
     }
 }
--- a/src/net/logger.h
+++ b/src/net/logger.h
@@ -22,6 +22,8 @@
     std::uint32_t repeatLimit = 20;  ///< lines written per event and repeatWindow; further ones are only counted
     Duration repeatWindow = std::chrono::seconds(10);
     std::size_t queueLimit = 8192; ///< lines queued for the writer thread; further ones are dropped and counted
+    std::size_t queueBytes = std::size_t{2} * 1024 * 1024; ///< the same for their size
+    Duration stopWait = std::chrono::seconds(1); ///< while output is not taken, the writer thread ends after this time
 };
 
 using LogFields = std::vector<std::pair<std::string, std::string>>;
@@ -41,7 +43,7 @@
 
     [[nodiscard]] std::uint64_t droppedLines() const;
 
-    /// Formats a line without its line feed. \a wallClock is the time since 1970.
+    /// Formats a line without its line feed. Its values are cut where it would be longer than a pipe takes at once. \a wallClock is the time since 1970.
     [[nodiscard]] static std::string formatLine(Duration wallClock, LogLevel level, const std::string &instance,
                                                 const std::string &event, const LogFields &fields);
 
@@ -54,15 +56,19 @@
     };
 
     void enqueue(std::string line);
+    /// Waits until standard output takes a line. Returns false if it takes none before the end of the process.
+    [[nodiscard]] bool awaitOutput();
     void run();
 
     LoggerOptions options;
     mutable std::mutex mutex;
     std::condition_variable changed;
     std::deque<std::string> lines;
+    std::size_t queuedBytes = 0;
     std::map<std::string, EventWindow, std::less<>> windows;
     std::uint64_t dropped = 0;
     bool stopping = false;
+    TimePoint stopSince{0};
     std::thread writer;
 };
 
--- a/tests/net/proxydaemontest.cpp
+++ b/tests/net/proxydaemontest.cpp
@@ -161,6 +161,17 @@
     this->daemon->stop();
 }
 
+// Guards against a line that a pipe does not take at once: its writer would block, and the process could not end.
+TEST(Logger, longLinesAreCut)
+{
+    const std::string line =
+        Logger::formatLine(std::chrono::seconds(1), LogLevel::Warning, "one-1", "event",
+                           {{"reason", std::string(1'000'000, '\x01')}, {"object", std::string(5'000, 'x')}});
+    EXPECT_LT(line.size(), 4096U);
+    EXPECT_EQ(line.front(), '{');
+    EXPECT_EQ(line.back(), '}');
+}
+
 // Guards against log lines that are not a single JSON object because of special characters in a field.
 TEST(Logger, linesAreJson)
 {
