Decoders of HTTP, settings and stored objects under RapidCheck

Cause: the HTTP decoders of both directions and the settings had no such tests. The new ones found that an answer that is cut off in the middle of its chunks, or within its header, was taken for complete: POCO's streams report the closed connection as their end.

Change: HttpClient reads chunked bodies itself and refuses an empty answer without a length on a connection that should stay open.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -14,15 +14,22 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
+#include <charconv>
 #include <istream>
 #include <ostream>
+#include <system_error>
 
 namespace Jujubekeel {
 
 namespace {
 
+/// Limits of the lines of a chunked body besides its data.
+constexpr std::size_t maxChunkLineBytes = 8192;
+constexpr std::size_t maxTrailerFields = 100;
+
 /// Makes the kernel close a dead connection within about three seconds. The network may drop packets of one connection
 /// without a reset while new connections still work.
 void enableDeadPeerDetection(Poco::Net::StreamSocket &socket)
@@ -50,11 +57,67 @@
 public:
     explicit Session(const Poco::Net::StreamSocket &socket) : HTTPClientSession(socket) { this->setKeepAlive(true); }
 
+    /// Reads a chunked body up to its end, or to more than \a limit bytes. Returns false if it is cut off or malformed.
+    /// POCO's stream takes a connection that was closed within the body for its end.
+    bool readChunks(std::string &body, std::size_t limit, MemoryTally::Share &held)
+    {
+        std::array<char, 8192> buffer{};
+        while (true) {
+            const auto head = this->readLine();
+            std::size_t size = 0;
+            if (!head)
+                return false;
+            const auto [end, failure] = std::from_chars(head->data(), head->data() + head->size(), size, 16);
+            if (failure != std::errc{} || (end != head->data() + head->size() && *end != ';' && *end != ' '))
+                return false;
+            if (size == 0)
+                break;
+            while (size > 0) {
+                const int count = this->read(buffer.data(), static_cast<int>(std::min(size, buffer.size())));
+                if (count <= 0)
+                    return false;
+                body.append(buffer.data(), static_cast<std::size_t>(count));
+                size -= static_cast<std::size_t>(count);
+                held.set(body.size());
+                if (body.size() > limit)
+                    return true;
+            }
+            if (this->readLine() != std::string())
+                return false;
+        }
+        std::optional<std::string> trailer;
+        std::size_t fields = 0;
+        do {
+            trailer = this->readLine();
+            fields += 1;
+        } while (trailer && !trailer->empty() && fields < maxTrailerFields);
+        return trailer && trailer->empty();
+    }
+
 protected:
     void connect(const Poco::Net::SocketAddress &) override
     {
         throw Poco::Net::ConnectionAbortedException("connection closed by the server");
     }
+
+private:
+    /// A line of the chunked encoding without its end; empty optional if it is cut off or too long.
+    std::optional<std::string> readLine()
+    {
+        std::string line;
+        while (line.size() <= maxChunkLineBytes) {
+            const int letter = this->get();
+            if (letter < 0)
+                return std::nullopt;
+            if (letter == '\n') {
+                if (!line.empty() && line.back() == '\r')
+                    line.pop_back();
+                return line;
+            }
+            line.push_back(static_cast<char>(letter));
+        }
+        return std::nullopt;
+    }
 };
 
 HttpClient::HttpClient(std::string serverAddress, Duration timeout, HttpClientLimits clientLimits)
@@ -82,6 +145,10 @@
             return false;
         }
         this->cancelDescriptor = ::dup(socket.impl()->sockfd());
+        if (this->cancelDescriptor < 0) {
+            error = "no descriptor is free";
+            return false;
+        }
         this->session = std::make_unique<Session>(socket);
         return true;
     } catch (const Poco::Exception &exception) {
@@ -129,13 +196,29 @@
             response.body.reserve(length);
         }
         std::array<char, 8192> buffer{};
-        while (input) {
+        const bool hasBody = response.status != Poco::Net::HTTPResponse::HTTP_NO_CONTENT
+                             && response.status != Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED;
+        const bool chunked = httpResponse.getChunkedTransferEncoding() && hasBody;
+        if (chunked && !this->session->readChunks(response.body, this->limits.bodyBytes, held)) {
+            error =
+                "chunked response body truncated or malformed after " + std::to_string(response.body.size()) + " bytes";
+            return std::nullopt;
+        }
+        if (tooLarge(response.body.size()))
+            return std::nullopt;
+        while (!chunked && input) {
             input.read(buffer.data(), buffer.size());
             response.body.append(buffer.data(), static_cast<std::size_t>(input.gcount()));
             held.set(response.body.size());
             if (tooLarge(response.body.size()))
                 return std::nullopt;
         }
+        // POCO takes a connection that was closed within the header for the end of the header.
+        if (hasBody && !chunked && response.body.empty() && !httpResponse.hasContentLength()
+            && httpResponse.getKeepAlive()) {
+            error = "response header truncated";
+            return std::nullopt;
+        }
         // POCO reports a connection that was closed within the body as a normal end of the stream.
         if (httpResponse.hasContentLength()
             && response.body.size() != static_cast<std::size_t>(httpResponse.getContentLength64())) {
--- a/src/net/httplistener.cpp
+++ b/src/net/httplistener.cpp
@@ -1,19 +1,12 @@
 #include "net/httplistener.h"
 
 #include "net/boottime.h"
+#include "net/httplistenerstate.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
-#include <Poco/Net/HTTPServerSession.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/String.h>
-#include <Poco/URI.h>
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -21,36 +14,15 @@
 #include <unistd.h>
 
 #include <array>
-#include <atomic>
 #include <cassert>
 #include <cerrno>
-#include <istream>
-#include <optional>
 
 namespace Jujubekeel {
 
 namespace {
 
-/// Gives access to the number of bytes that were read beyond the current request.
-class BufferedSession final : public Poco::Net::HTTPServerSession
-{
-public:
-    using HTTPServerSession::HTTPServerSession;
-    using HTTPSession::buffered;
-};
-
-enum class Phase : std::uint8_t {
-    Idle,    ///< no request; watched for input
-    Reading, ///< a worker reads a request
-    Waiting, ///< the handler processes the request; watched for a disconnect
-    Writing, ///< a worker writes the response
-    Closed,
-};
-
 /// Bytes of a request header that are awaited before a worker reads it.
 constexpr std::size_t headerPeekLimit = std::size_t{16} * 1024;
-/// Limit of unread input, in bytes, that is discarded before a refused connection is closed.
-constexpr std::size_t drainLimit = std::size_t{4} * 1024 * 1024;
 
 /// Pause after a failed accept. While descriptors are exhausted, the listening socket stays readable and an accept would
 /// fail again at once.
@@ -58,8 +30,6 @@
 /// Longest wait of the watcher, which bounds the delay of time limits.
 constexpr Duration sweepInterval = std::chrono::milliseconds(500);
 
-std::atomic<std::uint64_t> nextExchange{1};
-
 Poco::Timespan toTimespan(Duration duration)
 {
     return Poco::Timespan(duration.count());
@@ -67,42 +37,6 @@
 
 } // namespace
 
-struct HttpListener::Connection
-{
-    Poco::Net::StreamSocket socket;
-    std::unique_ptr<BufferedSession> session;
-    std::unique_ptr<Poco::Net::HTTPServerResponseImpl> response;
-    std::unique_ptr<Poco::Net::HTTPServerRequestImpl> request;
-    int descriptor = -1;
-    // Guarded by State::mutex.
-    Phase phase = Phase::Idle;
-    TimePoint phaseStart{0};
-    std::uint64_t exchangeId = 0;
-    HttpResponse pendingResponse;
-    bool keepAlive = false; ///< used by the worker that serves the request
-};
-
-struct HttpListener::State
-{
-    Poco::Net::ServerSocket server;
-    Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
-    int epoll = -1;
-    int wake = -1; ///< eventfd that ends the watcher's wait
-
-    mutable std::mutex mutex;
-    std::condition_variable workAvailable;
-    std::condition_variable requestFinished;
-    std::map<int, ConnectionPointer> connections; ///< by descriptor
-    std::map<std::uint64_t, ConnectionPointer> exchanges;
-    std::deque<ConnectionPointer> workQueue;
-    std::uint32_t activeRequests = 0; ///< connections from the start of a request to the end of its response
-    std::uint64_t refused = 0;
-    std::uint64_t failedAccepts = 0;
-    TimePoint acceptPausedUntil{0}; ///< 0: connections are accepted; used by the watcher only
-    bool accepting = true;
-    bool stopping = false;
-};
-
 std::string HttpRequest::header(std::string_view name) const
 {
     for (const auto &[key, value] : this->headers) {
@@ -209,8 +143,8 @@
     this->state->exchanges.erase(found);
     connection->pendingResponse = std::move(response);
     // A handler may answer before readRequest() has returned; that worker then writes the response itself.
-    const bool waiting = connection->phase == Phase::Waiting;
-    connection->phase = Phase::Writing;
+    const bool waiting = connection->phase == HttpPhase::Waiting;
+    connection->phase = HttpPhase::Writing;
     connection->phaseStart = bootTime();
     if (waiting) {
         this->state->workQueue.push_back(connection);
@@ -220,7 +154,7 @@
 
 void HttpListener::enqueue(const ConnectionPointer &connection)
 {
-    connection->phase = Phase::Reading;
+    connection->phase = HttpPhase::Reading;
     connection->phaseStart = bootTime();
     this->state->activeRequests += 1;
     this->state->workQueue.push_back(connection);
@@ -256,13 +190,13 @@
         return false;
     auto oldest = this->state->connections.end();
     for (auto entry = this->state->connections.begin(); entry != this->state->connections.end(); ++entry) {
-        if (entry->second->phase == Phase::Idle
+        if (entry->second->phase == HttpPhase::Idle
             && (oldest == this->state->connections.end() || entry->second->phaseStart < oldest->second->phaseStart))
             oldest = entry;
     }
     if (oldest == this->state->connections.end())
         return false;
-    oldest->second->phase = Phase::Closed;
+    oldest->second->phase = HttpPhase::Closed;
     this->state->connections.erase(oldest);
     return true;
 }
@@ -293,16 +227,16 @@
                 if (found == this->state->connections.end())
                     continue;
                 const ConnectionPointer connection = found->second;
-                if (connection->phase == Phase::Idle) {
+                if (connection->phase == HttpPhase::Idle) {
                     // A client that has ended its side sends no more of a header.
                     const bool ended = (events.at(static_cast<std::size_t>(index)).events & ~EPOLLIN) != 0;
                     if (ended || this->awaitHeader(*connection))
                         this->enqueue(connection);
-                } else if (connection->phase == Phase::Waiting) {
+                } else if (connection->phase == HttpPhase::Waiting) {
                     // The client disconnected, so the response is not needed any more.
                     abandonedExchanges.push_back(connection->exchangeId);
                     this->state->exchanges.erase(connection->exchangeId);
-                    connection->phase = Phase::Closed;
+                    connection->phase = HttpPhase::Closed;
                     this->state->connections.erase(found);
                     this->state->activeRequests -= 1;
                     this->state->requestFinished.notify_all();
@@ -384,7 +318,7 @@
             }
             connection->socket.setReceiveTimeout(toTimespan(this->options.readTimeout));
             connection->socket.setSendTimeout(toTimespan(this->options.readTimeout));
-            connection->session = std::make_unique<BufferedSession>(connection->socket, this->state->params);
+            connection->session = std::make_unique<HttpBufferedSession>(connection->socket, this->state->params);
         } catch (const Poco::Exception &) {
             continue; // the client has already disconnected
         }
@@ -404,13 +338,13 @@
     for (auto entry = this->state->connections.begin(); entry != this->state->connections.end();) {
         Connection &connection = *entry->second;
         const Duration age = now - connection.phaseStart;
-        if (connection.phase == Phase::Idle && age > this->options.idleTimeout) {
-            connection.phase = Phase::Closed;
+        if (connection.phase == HttpPhase::Idle && age > this->options.idleTimeout) {
+            connection.phase = HttpPhase::Closed;
             entry = this->state->connections.erase(entry);
             continue;
         }
         // The shutdown makes the worker's read or write fail, and the worker then closes the connection.
-        if ((connection.phase == Phase::Reading || connection.phase == Phase::Writing)
+        if ((connection.phase == HttpPhase::Reading || connection.phase == HttpPhase::Writing)
             && age > this->options.readTimeout)
             ::shutdown(connection.descriptor, SHUT_RDWR);
         ++entry;
@@ -421,7 +355,7 @@
 {
     while (true) {
         ConnectionPointer connection;
-        Phase phase = Phase::Closed;
+        HttpPhase phase = HttpPhase::Closed;
         {
             std::unique_lock lock(this->state->mutex);
             this->state->workAvailable.wait(
@@ -432,175 +366,13 @@
             this->state->workQueue.pop_front();
             phase = connection->phase;
         }
-        if (phase == Phase::Reading)
+        if (phase == HttpPhase::Reading)
             this->readRequest(connection);
-        else if (phase == Phase::Writing)
+        else if (phase == HttpPhase::Writing)
             this->writeResponse(connection);
     }
 }
 
-void HttpListener::readRequest(const ConnectionPointer &connection)
-{
-    HttpRequest httpRequest;
-    try {
-        connection->request.reset();
-        connection->response = std::make_unique<Poco::Net::HTTPServerResponseImpl>(*connection->session);
-        connection->request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(
-            *connection->response, *connection->session, this->state->params.get());
-        Poco::Net::HTTPServerRequestImpl &request = *connection->request;
-
-        // Size and framing of the body.
-        const bool chunked = request.getChunkedTransferEncoding();
-        if (chunked && request.hasContentLength()) {
-            this->refuseRequest(connection, ResultCode::MalformedRequest,
-                                "header: Content-Length and Transfer-Encoding exclude each other");
-            return;
-        }
-        if (request.hasContentLength() && request.getContentLength64() < 0) {
-            this->refuseRequest(connection, ResultCode::MalformedRequest, "header: Content-Length is negative");
-            return;
-        }
-        if (request.hasContentLength() && request.getContentLength64() > this->options.maxBodyBytes) {
-            this->refuseRequest(connection, ResultCode::RequestTooLarge,
-                                "body: " + std::to_string(request.getContentLength64()) + " bytes, limit "
-                                    + std::to_string(this->options.maxBodyBytes));
-            return;
-        }
-        // Without either header there is no body; POCO would read until the end of the connection.
-        const bool hasBody = chunked || request.hasContentLength();
-        if (request.getExpectContinue())
-            connection->response->sendContinue();
-
-        // Read until the limit is exceeded, to detect a chunked body that is too large.
-        if (hasBody) {
-            std::array<char, 16384> buffer{};
-            std::istream &input = request.stream();
-            while (input && httpRequest.body.size() <= this->options.maxBodyBytes) {
-                input.read(buffer.data(), buffer.size());
-                httpRequest.body.append(buffer.data(), static_cast<std::size_t>(input.gcount()));
-            }
-            if (httpRequest.body.size() > this->options.maxBodyBytes) {
-                this->refuseRequest(connection, ResultCode::RequestTooLarge,
-                                    "body: longer than " + std::to_string(this->options.maxBodyBytes)
-                                        + " bytes, the limit of the settings");
-                return;
-            }
-            if (request.hasContentLength()
-                && httpRequest.body.size() != static_cast<std::size_t>(request.getContentLength64())) {
-                this->refuseRequest(connection, ResultCode::MalformedRequest,
-                                    "body: byte " + std::to_string(httpRequest.body.size())
-                                        + ": ends before its Content-Length");
-                return;
-            }
-        }
-
-        httpRequest.method = request.getMethod();
-        httpRequest.clientAddress = request.clientAddress().host().toString();
-        httpRequest.path = Poco::URI(request.getURI()).getPath();
-        httpRequest.headers.reserve(request.size());
-        for (const auto &[name, value] : request)
-            httpRequest.headers.emplace_back(name, value);
-    } catch (const Poco::Net::NoMessageException &) {
-        this->close(connection); // the client disconnected between two requests
-        return;
-    } catch (const Poco::TimeoutException &) {
-        this->close(connection);
-        return;
-    } catch (const Poco::Net::ConnectionResetException &) {
-        this->close(connection);
-        return;
-    } catch (const Poco::Exception &error) {
-        this->refuseRequest(connection, ResultCode::MalformedRequest, "request line or header: " + error.displayText());
-        return;
-    } catch (const std::exception &error) {
-        this->refuseRequest(connection, ResultCode::MalformedRequest,
-                            std::string("request line or header: ") + error.what());
-        return;
-    }
-
-    // The headers, up to 800 KB, are not kept while the request waits.
-    connection->keepAlive = connection->request->getKeepAlive();
-    connection->request->clear();
-    // From here the handler may answer at any time, from any thread.
-    httpRequest.exchangeId = nextExchange.fetch_add(1);
-    {
-        const std::scoped_lock lock(this->state->mutex);
-        connection->exchangeId = httpRequest.exchangeId;
-        this->state->exchanges.emplace(httpRequest.exchangeId, connection);
-    }
-    this->handler(std::move(httpRequest));
-
-    {
-        const std::scoped_lock lock(this->state->mutex);
-        if (connection->phase == Phase::Reading) {
-            connection->phase = Phase::Waiting;
-            connection->phaseStart = bootTime();
-            epoll_event event{};
-            event.events = EPOLLRDHUP | EPOLLONESHOT;
-            event.data.fd = connection->descriptor;
-            epoll_ctl(this->state->epoll, EPOLL_CTL_MOD, connection->descriptor, &event);
-            return;
-        }
-    }
-    this->writeResponse(connection);
-}
-
-void HttpListener::sendResponse(Connection &connection, const HttpResponse &content, bool keepAlive)
-{
-    Poco::Net::HTTPServerResponseImpl &response = *connection.response;
-    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(content.status));
-    response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
-    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    response.setContentType(content.contentType);
-    response.setKeepAlive(keepAlive);
-    for (const auto &[name, value] : content.headers)
-        response.set(name, value);
-    response.sendBuffer(content.body.data(), content.body.size());
-    // POCO flushes the output when the response object is destroyed.
-    connection.request.reset();
-    connection.response.reset();
-}
-
-void HttpListener::writeResponse(const ConnectionPointer &connection)
-{
-    bool keepAlive = false;
-    try {
-        keepAlive = connection->keepAlive;
-        this->sendResponse(*connection, connection->pendingResponse, keepAlive);
-    } catch (const std::exception &) {
-        keepAlive = false; // the client has disconnected or does not read
-    }
-    connection->pendingResponse = HttpResponse{};
-    if (keepAlive)
-        this->waitForNextRequest(connection);
-    else
-        this->close(connection);
-}
-
-void HttpListener::refuseRequest(const ConnectionPointer &connection, ResultCode code, const std::string &text)
-{
-    try {
-        if (!connection->response || connection->response->sent())
-            connection->response = std::make_unique<Poco::Net::HTTPServerResponseImpl>(*connection->session);
-        this->sendResponse(*connection, this->errorResponse(code, text), false);
-
-        // Closing with unread input would reset the connection before the client has read the response.
-        connection->socket.shutdownSend();
-        std::array<char, 16384> buffer{};
-        std::size_t drained = 0;
-        connection->socket.setReceiveTimeout(Poco::Timespan(0, 500'000));
-        while (drained < drainLimit) {
-            const int received = connection->socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
-            if (received <= 0)
-                break;
-            drained += static_cast<std::size_t>(received);
-        }
-    } catch (const std::exception &) {
-        // The client has disconnected or does not read; the connection is closed below.
-    }
-    this->close(connection);
-}
-
 void HttpListener::waitForNextRequest(const ConnectionPointer &connection)
 {
     const std::scoped_lock lock(this->state->mutex);
@@ -608,7 +380,7 @@
     this->state->requestFinished.notify_all();
     if (this->state->stopping)
         return;
-    connection->phase = Phase::Idle;
+    connection->phase = HttpPhase::Idle;
     connection->phaseStart = bootTime();
     if (connection->session->buffered() > 0) {
         // The next request was received together with this one (pipelining).
@@ -626,8 +398,8 @@
     const std::scoped_lock lock(this->state->mutex);
     this->state->activeRequests -= 1;
     this->state->requestFinished.notify_all();
-    connection->phase = Phase::Closed;
+    connection->phase = HttpPhase::Closed;
     this->state->connections.erase(connection->descriptor);
 }
 
-} // namespace Jujubekeel
+} // namespace Jujubekeel
--- a/tests/platform/decoderfuzztest.cpp
+++ b/tests/platform/decoderfuzztest.cpp
@@ -7,105 +7,24 @@
 #include "pool/feedrequest.h"
 #include "pool/feedupdate.h"
 #include "pool/relayedroute.h"
+#include "settingsreader.h"
 #include "storedecoder.h"
+#include "support/fuzzing.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
-#include <cstdlib>
+#include <algorithm>
 #include <functional>
 #include <string>
 #include <vector>
 
 /// Every decoder of input from outside gets truncated, oversized, wrongly typed, deeply nested and duplicated input.
-/// Environment variable JUJUBEKEEL_FUZZ_RUNS: inputs for each decoder.
 namespace Jujubekeel {
 
 namespace {
 
-constexpr int defaultRuns = 3000;
-
-int fuzzRuns()
-{
-    const char *runs = std::getenv("JUJUBEKEEL_FUZZ_RUNS");
-    return runs == nullptr ? defaultRuns : std::atoi(runs);
-}
-
-std::string nested(std::size_t depth)
-{
-    return std::string(depth, '[') + std::string(depth, ']');
-}
-
-/// Changes a valid text in one of the ways in which other writers get it wrong.
-std::string mutated(std::string text)
-{
-    static const std::vector<std::string> values{
-        "null",        "-1",           "1e300",    "18446744073709551616", "true", "\"x\"", "[]", "{}", "0.5",
-        "\"\\ud800\"", "\"\xff\xfe\"", nested(40), "-9223372036854775809"};
-    const auto position = [&] { return *rc::gen::inRange<std::size_t>(0, text.size() + 1); };
-    switch (*rc::gen::inRange(0, 7)) {
-    case 0:
-        return text.substr(0, position());
-    case 1: {
-        const std::size_t at = position();
-        return text.insert(at, *rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
-    }
-    case 2: { // another value in place of the one after a colon
-        std::vector<std::size_t> colons;
-        for (std::size_t at = text.find(':'); at != std::string::npos; at = text.find(':', at + 1))
-            colons.push_back(at + 1);
-        if (colons.empty())
-            return text;
-        const std::size_t from = colons.at(*rc::gen::inRange<std::size_t>(0, colons.size()));
-        const std::size_t to = std::min(text.find_first_of(",}", from), text.size());
-        return text.replace(from, to - from, *rc::gen::elementOf(values));
-    }
-    case 3: // a part twice
-    {
-        const std::size_t from = position();
-        const std::string part = text.substr(from, *rc::gen::inRange<std::size_t>(0, 200));
-        return text.insert(from, part);
-    }
-    case 4: {
-        const std::size_t at = position();
-        if (at < text.size())
-            text[at] = *rc::gen::arbitrary<char>();
-        return text;
-    }
-    case 5: {
-        const std::size_t from = position();
-        return text.erase(from, *rc::gen::inRange<std::size_t>(0, 40));
-    }
-    default:
-        return *rc::gen::elementOf(values) + text;
-    }
-}
-
-/// Runs a property with fuzzRuns() inputs.
-void checkRuns(const std::function<void()> &property)
-{
-    const int runs = fuzzRuns();
-    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata{}, [&] {
-        rc::detail::TestParams params = rc::detail::configuration().testParams;
-        params.maxSuccess = runs;
-        return params;
-    }());
-    EXPECT_TRUE(result.template is<rc::detail::SuccessResult>());
-}
-
-/// Runs the decoder on changed forms of a valid text; it must return, whatever the text.
-void fuzz(const std::string &valid, const std::function<void(const std::string &text)> &decode)
-{
-    checkRuns([&] {
-        std::string text = valid;
-        const int changes = *rc::gen::inRange(0, 4);
-        for (int change = 0; change < changes; ++change)
-            text = mutated(text);
-        decode(text);
-    });
-}
-
 const std::string entryText =
     R"({"Service":"huvo","Address":"10.1.0.9:8080","Zone":"d0","Version":"v1","Slots":3,"State":"ready",)"
     R"("ColdLeftMs":0,"DbRole":"replica","Seq":4,"born":1700000000123})";
@@ -257,6 +176,42 @@
     EXPECT_TRUE(parseBoundedJson("\"" + std::string(300'000, ',') + "\""));
 }
 
+// Guards against limits of stored objects that are off by one.
+TEST(DecoderFuzz, StoredObjectsAroundTheLimits)
+{
+    const auto list = [](std::size_t count, const std::string &value) {
+        std::string text = "[";
+        for (std::size_t index = 0; index < count; ++index)
+            text += (index == 0 ? "" : ",") + value;
+        return text + "]";
+    };
+    for (const std::size_t depth : {31U, 32U, 33U})
+        EXPECT_EQ(parseBoundedJson(nested(depth)).has_value(), depth <= 32) << depth;
+    for (const std::size_t count : {199'999U, 200'000U, 200'001U}) {
+        // The list itself is a value, too.
+        EXPECT_EQ(parseBoundedJson(list(count - 1, "0")).has_value(), count <= 200'000) << count;
+        EXPECT_EQ(sliceJsonArray(list(count, "0")).has_value(), count <= 200'000) << count;
+    }
+    for (const std::size_t count : {9'999U, 10'000U, 10'001U}) {
+        std::string members = "{\"m\":0";
+        for (std::size_t index = 1; index < count; ++index)
+            members += ",\"" + std::to_string(index) + "\":0";
+        EXPECT_EQ(sliceJsonObject(members + "}").has_value(), count <= 10'000) << count;
+        FailureReason reason;
+        std::vector<std::string> skipped;
+        const std::string text = R"({"Version":7,"Routes":[],"Services":[],"Tenants":[{"Name":"a","ApiKeys":)"
+                                 + list(count, "\"key\"") + "}]}";
+        EXPECT_TRUE(decodeRoutes(StoreObject{.name = "main", .content = text}, reason, skipped));
+        EXPECT_EQ(skipped.empty(), count <= 10'000) << count;
+    }
+    for (const std::size_t size : {LineSplitter::lineLimit - 1, LineSplitter::lineLimit, LineSplitter::lineLimit + 1}) {
+        LineSplitter splitter;
+        splitter.append(std::string(size, 'x') + "\r\n");
+        EXPECT_EQ(splitter.next().has_value(), size <= LineSplitter::lineLimit) << size;
+        EXPECT_EQ(splitter.isOverlong(), size > LineSplitter::lineLimit) << size;
+    }
+}
+
 // Guards against an entry of another writer ending the process: its address was parsed only when the connection was
 // opened, and the exception left the event loop.
 TEST(DecoderFuzz, EntriesWithAnInvalidAddressAreRejected)
@@ -289,6 +244,58 @@
     EXPECT_FALSE(rejected(R"("TimeoutMs":1000)", R"("TimeoutMs":1000.5)"));
 }
 
+const std::string settingsText = R"(NodeName: "a"
+Zone: "d0"
+Region: "north"
+Zones: { d0: "north", d1: "south" }
+Ip: "10.0.0.1"
+PortRange: [7210, 7219]
+Listen: { Front: "10.0.0.1:7200", ReadyAddr: "10.0.0.1:7201" }
+Bounds: { GraceS: 6 }
+Contracts: [tenants, pool]
+ConnectionLingerMs: 300
+platform: { Address: "10.0.0.9:7100" }
+CloudApi: { Address: "10.0.0.9:7101" }
+Limits: { MemoryMb: 160, MaxFds: 4000, GreetingMs: 30000, StoreAnswerKb: 8192 }
+)";
+
+// Guards against settings that end the process with another error than a message, or take effect out of range.
+TEST(DecoderFuzz, Settings)
+{
+    fuzz(settingsText, [](const std::string &text) {
+        FailureReason reason;
+        const auto settings = decodeEntrySettings(text, reason);
+        RC_ASSERT((settings || !reason.text().empty()));
+        if (!settings)
+            return;
+        RC_ASSERT(settings->memoryMb >= 32U);
+        RC_ASSERT(settings->storeAnswerBytes >= std::size_t{1100} * 1024);
+        RC_ASSERT(settings->stopGrace.count() >= 0);
+        RC_ASSERT(settings->stopGrace <= std::chrono::hours(1));
+    });
+}
+
+// Guards against values around and far outside their limits.
+TEST(DecoderFuzz, SettingsOutOfRangeAreRejected)
+{
+    const auto accepted = [](const std::string &from, const std::string &to) {
+        std::string text = settingsText;
+        text.replace(text.find(from), from.size(), to);
+        FailureReason reason;
+        return decodeEntrySettings(text, reason).has_value();
+    };
+    EXPECT_TRUE(accepted("MemoryMb: 160", "MemoryMb: 32"));
+    for (const char *value : {"MemoryMb: 31", "MemoryMb: -1", "MemoryMb: 4294967296", "MemoryMb: x"})
+        EXPECT_FALSE(accepted("MemoryMb: 160", value)) << value;
+    EXPECT_TRUE(accepted("StoreAnswerKb: 8192", "StoreAnswerKb: 1100"));
+    EXPECT_FALSE(accepted("StoreAnswerKb: 8192", "StoreAnswerKb: 1099"));
+    for (const char *value : {"GraceS: 0", "GraceS: 0.5", "GraceS: 3600"})
+        EXPECT_TRUE(accepted("GraceS: 6", value)) << value;
+    for (const char *value : {"GraceS: -1", "GraceS: 3601", "GraceS: 1e300", "GraceS: .nan", "GraceS: .inf"})
+        EXPECT_FALSE(accepted("GraceS: 6", value)) << value;
+    EXPECT_FALSE(accepted("[7210, 7219]", std::string(200'000, '[')));
+}
+
 /// A value that another writer may have left, most of which a JSON reader rejects.
 rc::Gen<std::string> oddValue()
 {
