Pacing counts handshakes, compares durations by kind and asks slow servers less often

Cause: with pacing, handshakes were sent beside a full window; statements of another length looked like an overloaded server and shrank the window (to below 4 of 8 in ServerPace.LongerStatementsAreNoSignOfLoad); a slow server was asked every 1.2 s by each member, and a cold one got several statements in a row; work queued by objective was sent so late that it became late at the server; a read that one server had refused was not repeated after its first failure. Change: handshakes in progress count in the window; LatencyBaselines compares durations per latency objective; the estimate of an idle server counts half after 1 s instead of 0.4 s, and one that answers three times slower after a quiet time is known at once; twice the response time is left for the answer; a read is repeated after its first failure.

--- a/src/pace/serverpace.cpp
+++ b/src/pace/serverpace.cpp
@@ -19,20 +19,20 @@
 
 ServerPace::ServerPace(ServerPaceOptions paceOptions)
     : options(paceOptions), random(paceOptions.seed), limit(paceOptions.initialWindow), ceiling(paceOptions.maxWindow),
-      successes(paceOptions.settledSuccesses)
+      latencies(paceOptions), successes(paceOptions.settledSuccesses)
 {
 }
 
-bool ServerPace::allows(TimePoint now) const
+bool ServerPace::allows(TimePoint now, std::uint32_t handshakes) const
 {
     if (this->suspended)
         return now >= this->trialAt;
-    return this->running < this->limit && now >= this->notBefore;
+    return this->running + handshakes < this->limit && now >= this->notBefore;
 }
 
-bool ServerPace::allowsLastResort(TimePoint now) const
+bool ServerPace::allowsLastResort(TimePoint now, std::uint32_t handshakes) const
 {
-    return this->isTrialDue(now) || (this->running < this->limit && now >= this->notBefore);
+    return this->isTrialDue(now) || (this->running + handshakes < this->limit && now >= this->notBefore);
 }
 
 TimePoint ServerPace::allowedAt(TimePoint now, bool lastResort) const
@@ -55,14 +55,14 @@
     }
 }
 
-void ServerPace::finished(PaceOutcome outcome, Duration took, TimePoint now)
+void ServerPace::finished(PaceOutcome outcome, Duration took, TimePoint now, Duration kind)
 {
     const TimePoint startedAt = now - took;
     if (outcome != PaceOutcome::Ignored)
         this->finishedAt = now;
     switch (outcome) {
     case PaceOutcome::Succeeded:
-        this->recordLatency(took, now);
+        this->latencies.record(kind, took, now);
         this->succeeded(took, now);
         break;
     case PaceOutcome::SucceededUntimed:
@@ -92,13 +92,6 @@
     this->suspendedAt = now;
 }
 
-Duration ServerPace::bestLatency() const
-{
-    if (this->best.count() == 0 || this->earlierBest.count() == 0)
-        return std::max(this->best, this->earlierBest);
-    return std::min(this->best, this->earlierBest);
-}
-
 void ServerPace::succeeded(Duration took, TimePoint now)
 {
     const TimePoint startedAt = now - took;
@@ -121,7 +114,7 @@
         return;
     }
     this->pause = Duration{0};
-    if (this->isSlow())
+    if (this->latencies.isSlow())
         this->shrinkWindow(this->limit * shrinkNumerator / shrinkDenominator, startedAt, now);
     else
         this->growWindow(now);
@@ -143,7 +136,7 @@
         return;
     if (this->limit > 1) {
         this->ceiling = this->limit - 1;
-        this->ceilingLatency = this->average;
+        this->ceilingLatency = this->averageLatency();
         this->grewAt = now;
         this->shrinkWindow(this->limit * shrinkNumerator / shrinkDenominator, startedAt, now);
         return;
@@ -168,33 +161,13 @@
         this->suspend(now);
 }
 
-void ServerPace::recordLatency(Duration took, TimePoint now)
-{
-    const bool first = this->samples == 0;
-    this->average = first ? took : this->average + (took - this->average) / this->options.latencySamples;
-    this->samples = std::min(this->samples + 1, this->options.minLatencySamples);
-    if (this->samples < this->options.minLatencySamples)
-        return;
-    if (now - this->bestSince >= this->options.bestRetention) {
-        this->earlierBest = this->best;
-        this->best = Duration{0};
-        this->bestSince = now;
-    }
-    // 0 stands for unknown.
-    const Duration current = std::max(this->average, Duration{1});
-    this->best = this->best.count() == 0 ? current : std::min(this->best, current);
-}
-
 void ServerPace::growWindow(TimePoint now)
 {
     const bool isFull = this->running >= this->limit;
-    const bool isNearBest = this->samples < this->options.minLatencySamples
-                            || this->average <= this->bestLatency() * this->options.nearBestFactor
-                            || this->average - this->bestLatency() <= this->options.slowMargin;
-    if (!isFull || !isNearBest || this->limit >= this->options.maxWindow)
+    if (!isFull || !this->latencies.isNearBest() || this->limit >= this->options.maxWindow)
         return;
     // A server that has become much faster can run more than it could when it rejected.
-    if (this->average * fasterFactor < this->ceilingLatency) {
+    if (this->averageLatency() * fasterFactor < this->ceilingLatency) {
         this->ceiling = this->options.maxWindow;
         this->ceilingLatency = Duration{0};
     }
@@ -235,7 +208,7 @@
     this->notBefore = TimePoint{0};
     this->shrunkAt = now;
     // Durations from before the suspension describe another condition of the server.
-    this->samples = 0;
+    this->latencies.forgetAverages();
 }
 
 void ServerPace::lengthenPause(TimePoint now)
@@ -255,13 +228,6 @@
     return left * 2 < this->options.minPause ? Duration{0} : left;
 }
 
-bool ServerPace::isSlow() const
-{
-    return this->samples >= this->options.minLatencySamples
-           && this->average > this->bestLatency() * this->options.slowFactor
-           && this->average - this->bestLatency() > this->options.slowMargin;
-}
-
 Duration ServerPace::varied(Duration duration)
 {
     // The step of a linear congruential generator; its upper bits are used.
--- a/src/pace/serverpace.h
+++ b/src/pace/serverpace.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "pace/latencybaselines.h"
 #include "pace/serverpaceoptions.h"
 
 #include <cstdint>
@@ -26,10 +27,11 @@
     ServerPace() : ServerPace(ServerPaceOptions{}) {}
     explicit ServerPace(ServerPaceOptions paceOptions);
 
-    /// Whether a statement may be sent now. At a suspended server only a trial is allowed.
-    [[nodiscard]] bool allows(TimePoint now) const;
+    /// Whether a statement may be sent now. At a suspended server only a trial is allowed. \a handshakes are in progress,
+    /// and take a slot each.
+    [[nodiscard]] bool allows(TimePoint now, std::uint32_t handshakes = 0) const;
     /// The same for work that no other server can run: a suspended server gets one statement at a time beside trials.
-    [[nodiscard]] bool allowsLastResort(TimePoint now) const;
+    [[nodiscard]] bool allowsLastResort(TimePoint now, std::uint32_t handshakes = 0) const;
     /// Whether the server is suspended and the next statement to it would be a trial.
     [[nodiscard]] bool isTrialDue(TimePoint now) const { return this->suspended && now >= this->trialAt; }
     [[nodiscard]] bool isSuspended() const { return this->suspended; }
@@ -37,8 +39,9 @@
     [[nodiscard]] TimePoint allowedAt(TimePoint now, bool lastResort) const;
 
     void started(TimePoint now);
-    /// \a took is counted from started(), also for statements that failed.
-    void finished(PaceOutcome outcome, Duration took, TimePoint now);
+    /// \a took is counted from started(), also for statements that failed. Durations are compared with those of the
+    /// same \a kind of statement only.
+    void finished(PaceOutcome outcome, Duration took, TimePoint now, Duration kind = Duration{0});
     /// The server restarted. Statements in flight stay counted until they end.
     void reset(TimePoint now);
 
@@ -47,10 +50,10 @@
     [[nodiscard]] std::uint32_t inFlight() const { return this->running; }
     [[nodiscard]] std::uint32_t failureRun() const { return this->failures; }
     [[nodiscard]] std::uint32_t rejectionRun() const { return this->rejections; }
-    /// Lowest average duration in the last seconds; 0: unknown.
-    [[nodiscard]] Duration bestLatency() const;
-    /// Moving average of the durations; 0: unknown.
-    [[nodiscard]] Duration averageLatency() const { return this->average; }
+    /// Lowest average duration in the last seconds of the kind that ended last; 0: unknown.
+    [[nodiscard]] Duration bestLatency() const { return this->latencies.best(); }
+    /// Moving average of the durations of the kind that ended last; 0: unknown.
+    [[nodiscard]] Duration averageLatency() const { return this->latencies.average(); }
     /// Current interval between two trials.
     [[nodiscard]] Duration trialInterval() const { return this->trialDelay; }
     /// When the last statement with an outcome other than Ignored ended; 0: none has.
@@ -60,7 +63,6 @@
     void succeeded(Duration took, TimePoint now);
     void rejected(TimePoint startedAt, TimePoint now);
     void failed(TimePoint startedAt, TimePoint now);
-    void recordLatency(Duration took, TimePoint now);
     void growWindow(TimePoint now);
     /// Sets a lower window, once for all statements that were in flight together.
     void shrinkWindow(std::uint32_t target, TimePoint startedAt, TimePoint now);
@@ -69,7 +71,6 @@
     /// Doubles the pause between two statements.
     void lengthenPause(TimePoint now);
     [[nodiscard]] Duration decayedPause(TimePoint now) const;
-    [[nodiscard]] bool isSlow() const;
     /// \a duration varied by up to a quarter.
     [[nodiscard]] Duration varied(Duration duration);
 
@@ -82,11 +83,7 @@
     TimePoint grewAt{0};
     TimePoint shrunkAt{0};
 
-    Duration average{0};
-    std::uint32_t samples = 0; ///< of `average`, up to minLatencySamples
-    Duration best{0};          ///< lowest average since bestSince; 0: none
-    Duration earlierBest{0};   ///< the same of the interval before
-    TimePoint bestSince{0};
+    LatencyBaselines latencies;
 
     Duration pause{0}; ///< between two statements, at pauseSetAt
     TimePoint pauseSetAt{0};
--- a/src/pace/serverpaceoptions.h
+++ b/src/pace/serverpaceoptions.h
@@ -23,7 +23,7 @@
     // A member sends less than one statement at a time by waiting between two of them.
     Duration minPause = std::chrono::milliseconds(10);       ///< after a rejection at window 1; doubles
     Duration maxPause = std::chrono::milliseconds(120);      ///< at 16 members still 100 statements per second
-    Duration pauseHalfLife = std::chrono::milliseconds(700); ///< shorter ones let 16 members cause over 5 % rejections
+    Duration pauseHalfLife = std::chrono::milliseconds(800); ///< shorter ones let 16 members cause over 5 % rejections
 
     std::uint32_t suspendFailures = 3;   ///< consecutive failures that suspend the server
     std::uint32_t resuspendFailures = 2; ///< the same until it has settled after a suspension
--- a/src/pool/pacesystem.cpp
+++ b/src/pool/pacesystem.cpp
@@ -23,7 +23,7 @@
         return true;
     const TimePoint now = this->world.now;
     const bool barred = row.pace.isSuspended() && !lastResort && !canTry(session);
-    if (!barred && (lastResort ? row.pace.allowsLastResort(now) : row.pace.allows(now)))
+    if (!barred && (lastResort ? row.pace.allowsLastResort(now, row.opening) : row.pace.allows(now, row.opening)))
         return true;
     const TimePoint at = row.pace.allowedAt(now, lastResort);
     if (at > now)
@@ -56,7 +56,7 @@
     row.pace.started(this->world.now);
 }
 
-void PaceSystem::finished(LinkId linkId, PaceOutcome outcome, TimePoint sentAt)
+void PaceSystem::finished(LinkId linkId, PaceOutcome outcome, TimePoint sentAt, Duration kind)
 {
     LinkRow &link = this->world.links.at(linkId);
     if (link.paceStartedAt.count() == 0)
@@ -64,7 +64,7 @@
     ServerRow &row = this->world.servers.at(link.server);
     const bool wasSuspended = row.pace.isSuspended();
     const TimePoint suspendedSince = row.pace.suspendedSince();
-    row.pace.finished(outcome, this->world.now - std::max(link.paceStartedAt, sentAt), this->world.now);
+    row.pace.finished(outcome, this->world.now - std::max(link.paceStartedAt, sentAt), this->world.now, kind);
     link.paceStartedAt = TimePoint{0};
     if (outcome == PaceOutcome::Rejected)
         this->world.counters.add("jujubekeel_pool_server_rejections_total");
--- a/src/pool/pacesystem.h
+++ b/src/pool/pacesystem.h
@@ -30,8 +30,9 @@
     [[nodiscard]] bool isTrialDue(ServerId server) const;
     /// A statement, or the command that begins a transaction, is sent on the link.
     void started(LinkId link);
-    /// The statement on the link has ended. \a sentAt is when the server got it, if that was after started().
-    void finished(LinkId link, PaceOutcome outcome, TimePoint sentAt = TimePoint{0});
+    /// The statement on the link has ended. \a sentAt is when the server got it, if that was after started(); \a kind is that of
+    /// ServerPace::finished().
+    void finished(LinkId link, PaceOutcome outcome, TimePoint sentAt = TimePoint{0}, Duration kind = Duration{0});
 
     [[nodiscard]] static PaceOutcome outcomeOf(const std::optional<OutcomeError> &error, bool writes);
     /// Whether the session's work may be a trial statement: its failure is not the caller's, since a read is repeated
--- a/src/pool/queuesystem.cpp
+++ b/src/pool/queuesystem.cpp
@@ -7,6 +7,14 @@
 
 namespace Jujubekeel {
 
+namespace {
+
+/// Multiple of a server's average response time that is left for an answer in time: single statements take up to twice
+/// as long as the average, and the most urgent work is served first, so that an exact estimate makes half of it late.
+constexpr std::int64_t responseMargin = 2;
+
+} // namespace
+
 void QueueSystem::enqueue(SessionId id, ServiceId serviceId)
 {
     SessionRow &session = this->world.sessions.at(id);
@@ -48,7 +56,7 @@
         add(target.primary);
     else
         std::for_each(target.servers.begin(), target.servers.end(), add);
-    return session.work->arrivedAt + session.route->latencyObjective - expected.value_or(Duration{0});
+    return session.work->arrivedAt + session.route->latencyObjective - expected.value_or(Duration{0}) * responseMargin;
 }
 
 std::vector<SessionId> QueueSystem::inOrder(ServiceId service) const
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -13,11 +13,12 @@
 
 /// Divisor n of the moving average of response times: a new one has a weight of 1/n.
 constexpr std::int64_t averageDivisor = 8;
-/// With adaptive pacing an answer that is the first one for this long replaces the average if it is lower, so that a
-/// recovered server gets its share again at once.
+/// With adaptive pacing an answer that is the first one for this long replaces the average if it is lower, or higher by
+/// `otherFactor`, so that a recovered server gets its share again at once, and a cold one does not get further work.
 constexpr Duration staleResponseTime = std::chrono::milliseconds(400);
-/// With adaptive pacing an answer that is faster than the average by this factor counts more: the server has recovered.
-constexpr std::int64_t fasterFactor = 3;
+/// With adaptive pacing an answer that differs from the average by this factor shows another condition of the server. One
+/// that is faster by it counts more: the server has recovered.
+constexpr std::int64_t otherFactor = 3;
 constexpr std::int64_t fasterDivisor = 2;
 
 } // namespace
@@ -173,11 +174,12 @@
     }
     // A server that fails fast must not look like the one with the shortest wait.
     const bool isStale = this->world.now - server.pace.lastFinishedAt() > staleResponseTime;
-    if (!completed.exchange.error && isStale && took < server.responseTime)
+    const bool differs = took < server.responseTime || took > server.responseTime * otherFactor;
+    if (!completed.exchange.error && isStale && differs)
         server.responseTime = took;
     else if (!completed.exchange.error)
         server.responseTime +=
-            (took - server.responseTime) / (took * fasterFactor < server.responseTime ? fasterDivisor : averageDivisor);
+            (took - server.responseTime) / (took * otherFactor < server.responseTime ? fasterDivisor : averageDivisor);
     const SessionRow *session = this->world.sessions.find(link.user);
     const bool untimed = session == nullptr || !session->work || session->work->writes
                          || session->work->statement.kind == StatementKind::Commit;
@@ -186,7 +188,9 @@
     if (outcome == PaceOutcome::Failed && session != nullptr && session->work && session->work->lastError
         && session->work->lastError->code == OutcomeCode::Failed)
         outcome = PaceOutcome::Ignored;
-    this->pace.finished(linkId, outcome, completed.exchange.sentAt);
+    // Routes with the same objective run statements of similar length.
+    this->pace.finished(linkId, outcome, completed.exchange.sentAt,
+                        untimed ? Duration{0} : session->route->latencyObjective);
 }
 
 void ResultSystem::statementFailed(SessionId id, LinkId linkId, CompletedExchange &completed)
@@ -234,7 +238,9 @@
         this->dispatch.requeue(id, error);
         return;
     case OutcomeCode::Failed:
-        if (!work.writes && work.attempts == 1) {
+        // Earlier attempts that other servers refused show nothing about the statement.
+        if (!work.writes && !work.hasFailed) {
+            work.hasFailed = true;
             work.excluded.push_back(server);
             this->dispatch.requeue(id, error);
             return;
--- a/src/pool/serverchooser.cpp
+++ b/src/pool/serverchooser.cpp
@@ -22,7 +22,7 @@
 constexpr std::int64_t primaryPathFactor = 2;
 /// With adaptive pacing the response time of a server without answers counts half after each of these times, so that a
 /// slow server gets a statement now and then that shows whether it still is slow; the slower it is, the rarer.
-constexpr Duration estimateHalfLife = std::chrono::milliseconds(400);
+constexpr Duration estimateHalfLife = std::chrono::seconds(1);
 constexpr std::int64_t maxHalvings = 10;
 
 } // namespace
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -40,6 +40,7 @@
     TimePoint sentAt{0};    ///< when it was last sent
     std::string server;     ///< id of the server to which it was last sent; a member if the work is relayed
     std::uint32_t attempts = 0;
+    bool hasFailed = false;                      ///< a server has answered with Failed
     std::vector<ServerId> excluded;              ///< servers that have refused it or were lost
     std::optional<OutcomeError> lastError;       ///< of the last attempt
     std::optional<LogPosition> requiredPosition; ///< that the last server had to hold; empty: none was required
--- a/src/programs/jujubekeel-poolbench/main.cpp
+++ b/src/programs/jujubekeel-poolbench/main.cpp
@@ -21,7 +21,7 @@
       [--paced]
   jujubekeel-poolbench failover [--seeds=N]
   jujubekeel-poolbench sharing [--seeds=N]
-  jujubekeel-poolbench pace [--seeds=N]
+  jujubekeel-poolbench pace [--seeds=N] [--load=TEXT]
   jujubekeel-poolbench (--help | --version)
 
 Options:
@@ -32,7 +32,8 @@
   --restored   the store also returns from an older copy, once or twice in each run
   --sync       a commit is acknowledged when one replica has received it
   --organisations  the callers belong to 40 organisations
-  --paced      the work for a server is limited by how it answers
+  --paced      the work for a server is limited by how it answers, and is queued by latency objective
+  --load=TEXT  only loads whose name contains TEXT
   -h --help    show this text
   --version    show the version
 
@@ -40,7 +41,8 @@
 trace: the log lines, the faults and the broken rules of one run of `random`.
 failover: a table of faults of the primary and of the store, for two lease durations.
 sharing: a table of policies that choose the members for the work of an organisation.
-pace: a table of bursts and of slow, cold, failing and flapping servers, without and with adaptive pacing.
+pace: a table of bursts, of slow, cold, failing and flapping servers and of organisations, without and with adaptive
+pacing and the queue order by latency objective.
 )";
 
 struct RunOptions
@@ -61,6 +63,7 @@
     options.group.syncReplicas = run.synchronous ? 1 : 0;
     options.organisations = run.organisations ? organisationCount : 0;
     options.pool.adaptivePacing = run.paced;
+    options.pool.queueByObjective = run.paced;
     return runRandomFaults(seed, std::move(options), {.restoredStore = run.restored});
 }
 
@@ -111,7 +114,7 @@
         return 0;
     }
     if (options.isGiven("pace")) {
-        printPaceTable(options.number("--seeds", 1, 1000));
+        printPaceTable(options.number("--seeds", 1, 1000), options.text("--load"));
         return 0;
     }
     const RunOptions run{.relays = options.isGiven("--relays"),
--- a/src/programs/jujubekeel-poolbench/pacetable.cpp
+++ b/src/programs/jujubekeel-poolbench/pacetable.cpp
@@ -32,6 +32,9 @@
 constexpr std::uint32_t shortQueue = 4;
 constexpr std::uint32_t relayingInstances = 4;
 constexpr double organisationSurge = 7;
+constexpr std::uint32_t organisationQueue = 32;
+/// Operations per second at one group of servers.
+constexpr double usualOrganisationRate = 101;
 /// Sum of the rate limits: high enough that no organisation reaches its own.
 constexpr double noRateLimit = 100'000;
 constexpr std::size_t faultyReplica = 1;
@@ -121,11 +124,21 @@
                  }
              }},
         {.name = "primary fails everything", .apply = impair(0, broken), .oneServer = false},
-        {.name = "86 organisations, the largest sends 7 times, short queues",
+        {.name = "86 organisations, the largest sends 7 times",
+         .apply = [](VirtualPool &, OpenLoopLoad &) {},
+         .oneServer = false,
+         .queueLimit = organisationQueue,
+         .organisationRate = usualOrganisationRate},
+        {.name = "86 organisations at twice their load, the largest sends 7 times that",
+         .apply = [](VirtualPool &, OpenLoopLoad &) {},
+         .oneServer = false,
+         .queueLimit = organisationQueue,
+         .organisationRate = 2 * usualOrganisationRate},
+        {.name = "86 organisations at twice their load, the largest 7 times, short queues",
          .apply = [](VirtualPool &, OpenLoopLoad &) {},
          .oneServer = false,
          .queueLimit = shortQueue,
-         .organisationRate = 300},
+         .organisationRate = 2 * usualOrganisationRate},
     };
 }
 
@@ -271,7 +284,7 @@
 
 } // namespace
 
-void printPaceTable(std::uint64_t seeds)
+void printPaceTable(std::uint64_t seeds, const std::string &loadName)
 {
     constexpr std::array<PacePolicy, 4> policies{{{.paced = false, .byObjective = false},
                                                   {.paced = false, .byObjective = true},
@@ -283,6 +296,8 @@
         "| connections | p50 ms | p99 ms | busiest / mean | sent after return | rejected or failed of these %% |\n"
         "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
     for (const PaceScenario &scenario : paceScenarios()) {
+        if (scenario.name.find(loadName) == std::string::npos)
+            continue;
         for (const PacePolicy &policy : policies) {
             const PaceFigures figures = measure(scenario, policy, seeds);
             std::printf("| %s | %s | %s | %.0f | %.2f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.2f |",
--- a/tests/pace/serverpacetest.cpp
+++ b/tests/pace/serverpacetest.cpp
@@ -320,6 +320,51 @@
     EXPECT_TRUE(pace.allows(now + milliseconds(15)));
 }
 
+/// Window after 5 s of statements of 4.5 ms and 1 s of statements of 22 ms, which \a kind names. Eight run at a time, or
+/// as many as the window allows.
+std::uint32_t windowAfterLongStatements(Duration kind)
+{
+    ServerPace pace;
+    TimePoint now = seconds(1);
+    const auto serve = [&](Duration of, Duration took, Duration time) {
+        for (const TimePoint end = now + time; now < end;) {
+            std::uint32_t running = 0;
+            for (; running < 8 && pace.allows(now); ++running)
+                pace.started(now);
+            for (now += took; running > 0; --running)
+                pace.finished(PaceOutcome::Succeeded, took, now, of);
+        }
+    };
+    serve(milliseconds(250), Duration(4500), seconds(5));
+    serve(kind, milliseconds(22), seconds(1));
+    return pace.window();
+}
+
+// Load: a server that has run short statements gets long ones, as when one kind of request or an organisation sends a
+// multiple of its usual load. Guards against the change being taken for an overloaded server.
+TEST(ServerPace, LongerStatementsAreNoSignOfLoad)
+{
+    EXPECT_GE(windowAfterLongStatements(milliseconds(1200)), 8U);
+    EXPECT_LT(windowAfterLongStatements(milliseconds(250)), 4U) << "of the same kind they are one";
+}
+
+// Load: connections of many organisations, of which each handshake takes a slot for longer than a statement. Guards
+// against handshakes being sent beside a full window.
+TEST(ServerPace, HandshakesTakeTheirPlaceInTheWindow)
+{
+    ServerPace pace;
+    const TimePoint now = seconds(1);
+    EXPECT_TRUE(pace.allows(now));
+    EXPECT_FALSE(pace.allows(now, 1));
+    EXPECT_FALSE(pace.allowsLastResort(now, 1));
+    for (int failure = 0; failure < 3; ++failure) {
+        pace.started(now);
+        pace.finished(PaceOutcome::Failed, Duration{0}, now);
+    }
+    ASSERT_TRUE(pace.isSuspended());
+    EXPECT_TRUE(pace.allows(now + seconds(1), 1)) << "a trial does not wait for a greeting without an answer";
+}
+
 } // namespace
 
 } // namespace Jujubekeel
--- a/tests/pool/pacetest.cpp
+++ b/tests/pool/pacetest.cpp
@@ -1,5 +1,6 @@
 #include "pool/poolsupport.h"
 #include "virtualpool/openloopload.h"
+#include "virtualpool/organisationworkload.h"
 #include "virtualpool/poolfaults.h"
 
 #include <algorithm>
@@ -271,6 +272,7 @@
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         VirtualPoolOptions options = seed % 2 == 0 ? largeFleetOptions(seed) : VirtualPoolOptions{};
         options.pool.adaptivePacing = true;
+        options.pool.queueByObjective = seed % 3 != 0;
         options.pool.requiresKeys = seed % 4 >= 2;
         options.publicRoutes = options.pool.requiresKeys;
         const PoolRunResult result = runRandomFaults(seed, options);
@@ -279,6 +281,39 @@
     }
 }
 
+// Load: 86 organisations, of which the largest sends 7 times its usual load for 3 s, at servers with short queues.
+// Guards against handshakes and statements beyond the slots being rejected and sent again, which leaves few slots for
+// work that ends in time.
+TEST(Pace, SurgeOfOneOrganisationLeavesTheSlotsToStatements)
+{
+    double inTime[2] = {};
+    std::uint64_t rejected[2] = {};
+    for (const bool improved : {false, true}) {
+        VirtualPoolOptions options = organisationFleetOptions(1);
+        options.organisationRate = 100'000;
+        options.group.queueLimit = 4;
+        options.latencyObjective = milliseconds(250);
+        options.pool.adaptivePacing = improved;
+        options.pool.queueByObjective = improved;
+        VirtualPool pool(options);
+        OrganisationWorkload load(pool,
+                                  {.rate = 300, .surgeFactor = 7, .surgeAfter = seconds(2), .surgeTime = seconds(3)});
+        pool.run(seconds(3));
+        load.start(pool.now() + seconds(8));
+        pool.run(seconds(10));
+        const auto &all = load.operations();
+        const auto good = std::count_if(all.begin(), all.end(), [&](const OrganisationOperation &entry) {
+            return entry.endedAt.count() != 0 && !entry.error
+                   && entry.endedAt - entry.startedAt <= options.latencyObjective;
+        });
+        inTime[improved ? 1 : 0] = static_cast<double>(good) / static_cast<double>(all.size());
+        for (std::size_t server = 0; server < pool.group().size(); ++server)
+            rejected[improved ? 1 : 0] += pool.group().tally(server).rejected;
+    }
+    EXPECT_GT(inTime[1], inTime[0] + 0.2) << inTime[1] << " against " << inTime[0];
+    EXPECT_LT(rejected[1] * 20, rejected[0]);
+}
+
 } // namespace
 
 } // namespace Jujubekeel
--- a/tests/pool/sessiontest.cpp
+++ b/tests/pool/sessiontest.cpp
@@ -300,6 +300,23 @@
     EXPECT_TRUE(isRefused("a2"));
 }
 
+// Guards against a read that fails at a faulty server being given up because another server had refused it before.
+TEST(FailedRead, IsRepeatedAfterItsFirstFailureOnly)
+{
+    VirtualPool pool({.instances = 1, .instanceDomains = {"d1"}});
+    pool.group().setApplyLag(1, std::chrono::seconds(5));
+    pool.run(std::chrono::seconds(2));
+    const auto caller = *pool.openCaller(0, VirtualPool::boundedRoute);
+    runStatement(pool, caller, StatementKind::Write, "w", "WRITE 1");
+    pool.run(std::chrono::seconds(2));
+    runStatement(pool, caller, StatementKind::Read, "p", "READ 1"); // the instance learns the primary's position
+    pool.group().setImpairment(2, {.failedPercent = 100});
+    EXPECT_FALSE(runStatement(pool, caller, StatementKind::Read, "r", "READ 1").error.has_value());
+    EXPECT_EQ(pool.group().tally(2).failed, 1U) << "the lagging server refused it first";
+    pool.group().setImpairment(0, {.failedPercent = 100});
+    EXPECT_EQ(runStatement(pool, caller, StatementKind::Read, "s", "READ 1").error->code, OutcomeCode::Failed);
+}
+
 } // namespace
 
 } // namespace Jujubekeel
