--- a/tests/pool/pacetest.cpp
+++ b/tests/pool/pacetest.cpp
@@ -311,6 +311,8 @@
             rejected[improved ? 1 : 0] += pool.group().tally(server).rejected;
     }
     EXPECT_GT(inTime[1], inTime[0] + 0.2) << inTime[1] << " against " << inTime[0];
+    // 0.77; with handshakes beside a full window 0.68.
+    EXPECT_GT(inTime[1], 0.72);
     EXPECT_LT(rejected[1] * 20, rejected[0]);
 }
 
