--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -245,6 +245,12 @@
     this->feedPublisher.publish();
 }
 
+void PoolCore::loadsReported(TimePoint now, const std::string &member, LoadReports::InFlight inFlight)
+{
+    this->world.now = now;
+    this->world.loadReports.received(member, std::move(inFlight), now);
+}
+
 void PoolCore::eraChanged()
 {
     this->replacement.eraChanged();
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -81,6 +81,8 @@
     void entriesListed(TimePoint now, const std::vector<ServerEntry> &entries);
 
     void fleetUpdated(TimePoint now, const FleetUpdate &update);
+    /// Another member has reported what it has in flight at each server.
+    void loadsReported(TimePoint now, const std::string &member, LoadReports::InFlight inFlight);
     void writeFinished(TimePoint now, const WriteOutcome &outcome);
     void promotionFinished(TimePoint now, const PromotionOutcome &outcome);
 
--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "placing/placementrule.h"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +29,12 @@
 
     bool adaptivePacing = false; ///< the work for a backend server is limited by how it answers
 
+    PlacementRule placement = PlacementRule::ShortestWait;
+    /// Factor on the expected wait of the primary for other reads: it is left to writes and reads of `primary` routes,
+    /// which can't run elsewhere, unless the replicas are this much more loaded.
+    std::int64_t primaryReadFactor = 2;
+    Duration loadReportAge = std::chrono::milliseconds(300); ///< older reports of other members' work are not used
+
     bool firstStart = false; ///< the fleet starts for the first time: there is nothing that the store could have lost
 
     std::uint32_t expectedInstances = 6;   ///< a server's connections are divided by this many at least
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -5,6 +5,7 @@
 #include "observe/counters.h"
 #include "observe/logratelimiter.h"
 #include "organisations/organisationtable.h"
+#include "placing/loadreports.h"
 #include "pool/linkrow.h"
 #include "pool/poolactions.h"
 #include "pool/pooloptions.h"
@@ -51,6 +52,7 @@
     /// Failure domain of the primary of a service, as members last reported it to this relaying instance. Only used to
     /// choose near members, so that an outdated one costs time but no correctness.
     std::unordered_map<std::string, std::string> primaryDomainOf;
+    LoadReports loadReports; ///< with PlacementRule::OthersInFlight, OthersPerSlot
     /// A member has reported its configuration since the start, or cannot. Before, the store's may be an older one, in
     /// which withdrawn keys are valid.
     bool configurationConfirmed = false;
--- a/src/pool/serverchooser.cpp
+++ b/src/pool/serverchooser.cpp
@@ -7,16 +7,12 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <tuple>
 #include <utility>
 
 namespace Jujubekeel {
 
 namespace {
 
-/// Factor on the expected wait of the primary for other reads: it is left to writes and reads of `primary` routes,
-/// which can't run elsewhere, unless the replicas are this much more loaded.
-constexpr std::int64_t primaryReadFactor = 2;
 /// Weight of the way from a member to the primary. Connections in the name of an organisation are often new, and connect
 /// and greeting take two round trips on this way.
 constexpr std::int64_t primaryPathFactor = 2;
@@ -74,16 +70,43 @@
     return server.responseTime / (std::int64_t{1} << std::clamp<std::int64_t>(halvings, 0, maxHalvings));
 }
 
+std::uint32_t ServerChooser::inFlight(const ServerRow &server) const
+{
+    const PoolOptions &options = this->world.options;
+    const bool countsOthers =
+        options.placement == PlacementRule::OthersInFlight || options.placement == PlacementRule::OthersPerSlot;
+    if (!countsOthers || server.isMember)
+        return server.running;
+    return server.running + this->world.loadReports.inFlight(server.entry.id, this->world.now, options.loadReportAge);
+}
+
 Duration ServerChooser::expectedWait(ServerId server, bool isPrimary) const
 {
     const ServerRow &row = this->world.servers.at(server);
     const PoolOptions &options = this->world.options;
-    Duration wait = this->responseTime(row) * (row.running + 1);
+    Duration wait = this->responseTime(row) * (this->inFlight(row) + 1);
+    if (options.placement == PlacementRule::OthersPerSlot && !row.isMember)
+        wait = std::max(this->responseTime(row), wait / std::max<std::int64_t>(row.entry.slots, 1));
     if (isPrimary)
-        wait *= primaryReadFactor;
+        wait *= options.primaryReadFactor;
     return wait + this->distance(options.failureDomain, row.entry.failureDomain);
 }
 
+Duration ServerChooser::unloadedWait(ServerId server, bool isPrimary) const
+{
+    const ServerRow &row = this->world.servers.at(server);
+    return this->responseTime(row) * (isPrimary ? this->world.options.primaryReadFactor : 1)
+           + this->distance(this->world.options.failureDomain, row.entry.failureDomain);
+}
+
+std::uint64_t ServerChooser::placementDraw(const SessionRow &session) const
+{
+    if (this->world.options.placement == PlacementRule::ShortestWait)
+        return 0;
+    return rendezvousScore(rendezvousKey(this->world.options.instance),
+                           static_cast<std::uint64_t>(session.work->arrivedAt.count()) + session.work->attempts);
+}
+
 std::string_view ServerChooser::regionOf(const std::string &domain) const
 {
     const PoolOptions &options = this->world.options;
@@ -172,19 +195,24 @@
             primary == nullptr ? Duration{0} : primaryPathFactor * this->distance(row.entry.failureDomain, *primary);
         candidates.push_back(MemberChoice{.avoided = refuses || row.silence(this->world.now) > options.relaySilence,
                                           .wait = this->expectedWait(id, false) + toPrimary,
+                                          .unloaded = this->unloadedWait(id, false) + toPrimary,
                                           .tieBreak = std::hash<std::string>{}(options.instance + instance),
                                           .id = id});
     }
     if (session.organisation && options.memberAffinity != MemberAffinity::None)
         this->preferMembers(candidates, *session.organisation,
                             this->regionOf(primary == nullptr ? options.failureDomain : *primary));
-    std::sort(candidates.begin(), candidates.end(), [](const MemberChoice &left, const MemberChoice &right) {
-        return std::tie(left.avoided, left.wait, left.tieBreak) < std::tie(right.avoided, right.wait, right.tieBreak);
-    });
+    std::vector<PlacementCandidate> placed;
+    placed.reserve(candidates.size());
+    for (const MemberChoice &member : candidates)
+        placed.push_back({.rank = member.avoided ? 1U : 0U,
+                          .wait = member.wait,
+                          .unloaded = member.unloaded,
+                          .tieBreak = member.tieBreak});
     std::vector<ServerId> selected;
-    for (const MemberChoice &candidate : candidates) {
+    for (const std::size_t index : orderCandidates(options.placement, placed, this->placementDraw(session))) {
         if (selected.size() < options.relayTargets)
-            selected.push_back(candidate.id);
+            selected.push_back(candidates[index].id);
     }
     return selected;
 }
@@ -194,7 +222,8 @@
 {
     const ServiceRow &row = this->world.services.at(service);
     const std::vector<ServerId> &excluded = session.work->excluded;
-    std::vector<std::tuple<std::uint8_t, Duration, ServerId>> candidates;
+    std::vector<ServerId> candidates;
+    std::vector<PlacementCandidate> placed;
     for (const ServerId id : row.servers) {
         const bool isPrimary = id == row.primary;
         const ServerRow &server = this->world.servers.at(id);
@@ -208,14 +237,16 @@
             continue;
         if (!isPrimary && this->world.now < server.laggingUntil && server.applied < *required)
             continue;
-        candidates.emplace_back(this->paceRank(session, server), this->expectedWait(id, isPrimary), id);
+        candidates.push_back(id);
+        placed.push_back({.rank = this->paceRank(session, server),
+                          .wait = this->expectedWait(id, isPrimary),
+                          .unloaded = this->unloadedWait(id, isPrimary),
+                          .tieBreak = (std::uint64_t{id.index} << 32U) | id.generation});
     }
-    std::sort(candidates.begin(), candidates.end());
-
     std::vector<ServerId> ordered;
     ordered.reserve(candidates.size());
-    for (const auto &[rank, wait, id] : candidates)
-        ordered.push_back(id);
+    for (const std::size_t index : orderCandidates(this->world.options.placement, placed, this->placementDraw(session)))
+        ordered.push_back(candidates[index]);
     return ordered;
 }
 
--- a/src/pool/serverchooser.h
+++ b/src/pool/serverchooser.h
@@ -48,6 +48,7 @@
     {
         bool avoided = false; ///< silent, or refuses work at present
         Duration wait{0};
+        Duration unloaded{0}; ///< wait without the work in flight
         std::size_t tieBreak = 0;
         ServerId id;
     };
@@ -67,6 +68,12 @@
     /// Expected duration of a statement at the server.
     [[nodiscard]] Duration responseTime(const ServerRow &server) const;
     [[nodiscard]] Duration expectedWait(ServerId server, bool isPrimary) const;
+    /// The same without the statements in flight.
+    [[nodiscard]] Duration unloadedWait(ServerId server, bool isPrimary) const;
+    /// Random number for the placement of the session's work; the same for the same work at the same instance.
+    [[nodiscard]] std::uint64_t placementDraw(const SessionRow &session) const;
+    /// Statements that count for the expected wait.
+    [[nodiscard]] std::uint32_t inFlight(const ServerRow &server) const;
     /// Cost of the way between two failure domains.
     [[nodiscard]] Duration distance(const std::string &from, const std::string &to) const;
     /// Failure domain of the primary for work of an organisation that needs it; null: unknown, or not needed.
--- a/src/programs/jujubekeel-poolbench/main.cpp
+++ b/src/programs/jujubekeel-poolbench/main.cpp
@@ -1,11 +1,13 @@
 #include "programs/commandline/commandline.h"
 #include "programs/jujubekeel-poolbench/failovertable.h"
 #include "programs/jujubekeel-poolbench/pacetable.h"
+#include "programs/jujubekeel-poolbench/placingtable.h"
 #include "programs/jujubekeel-poolbench/sharingtable.h"
 #include "virtualpool/poolfaults.h"
 
 #include <cstdint>
 #include <cstdio>
+#include <optional>
 #include <utility>
 
 namespace {
@@ -22,6 +24,7 @@
   jujubekeel-poolbench failover [--seeds=N]
   jujubekeel-poolbench sharing [--seeds=N]
   jujubekeel-poolbench pace [--seeds=N]
+  jujubekeel-poolbench placing [--seeds=N] [--plots=FOLDER]
   jujubekeel-poolbench (--help | --version)
 
 Options:
@@ -33,6 +36,7 @@
   --sync       a commit is acknowledged when one replica has received it
   --organisations  the callers belong to 40 organisations
   --paced      the work for a server is limited by how it answers
+  --plots=FOLDER  also write a plot of each load there, as SVG file
   -h --help    show this text
   --version    show the version
 
@@ -41,6 +45,7 @@
 failover: a table of faults of the primary and of the store, for two lease durations.
 sharing: a table of policies that choose the members for the work of an organisation.
 pace: a table of bursts and of slow, cold, failing and flapping servers, without and with adaptive pacing.
+placing: a table of rules that choose servers and members under uneven demand.
 )";
 
 struct RunOptions
@@ -114,6 +119,11 @@
         printPaceTable(options.number("--seeds", 1, 1000));
         return 0;
     }
+    if (options.isGiven("placing")) {
+        printPlacingTable(options.number("--seeds", 1, 1000),
+                          options.isGiven("--plots") ? std::optional(options.text("--plots")) : std::nullopt);
+        return 0;
+    }
     const RunOptions run{.relays = options.isGiven("--relays"),
                          .restored = options.isGiven("--restored"),
                          .synchronous = options.isGiven("--sync"),
--- a/src/virtualpool/statementgroup.cpp
+++ b/src/virtualpool/statementgroup.cpp
@@ -323,8 +323,11 @@
                                      TimePoint receivedAt)
 {
     Connection &row = this->connections.at(connection);
-    this->record.runs.push_back(GroupHistory::Run{
-        .id = command.id, .organisation = row.organisation, .isFirst = row.runs == 0, .receivedAt = receivedAt});
+    this->record.runs.push_back(GroupHistory::Run{.id = command.id,
+                                                  .organisation = row.organisation,
+                                                  .isFirst = row.runs == 0,
+                                                  .server = row.server,
+                                                  .receivedAt = receivedAt});
     row.runs += 1;
     const Server &server = this->servers[row.server];
     const bool commit = startsWith(command, "COMMIT");
--- a/src/virtualpool/statementgroup.h
+++ b/src/virtualpool/statementgroup.h
@@ -76,6 +76,7 @@
         std::string id;
         std::string organisation; ///< in whose name the connection was opened; empty: the proxy
         bool isFirst = false;     ///< on its connection
+        std::size_t server = 0;
         TimePoint receivedAt{0};
     };
 
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -411,6 +411,25 @@
         [this, session = caller.session](PoolCore &core) { core.callerDisconnected(this->events.now(), session); });
 }
 
+void VirtualPool::reportLoads(std::size_t from, std::size_t to)
+{
+    const Node &source = *this->nodes.at(from);
+    if (!source.core || source.isolatedInstances.contains(to))
+        return;
+    LoadReports::InFlight inFlight;
+    source.core->state().servers.forEach([&](ServerId, const ServerRow &server) {
+        if (!server.isMember)
+            inFlight.emplace(server.entry.id, server.running);
+    });
+    this->countMessage(this->instanceDomain(from), this->instanceDomain(to));
+    this->at(this->domainDelay(this->instanceDomain(from), this->instanceDomain(to)),
+             [this, to, boot = this->nodes.at(to)->boot, member = "i" + std::to_string(from), inFlight] {
+                 this->input(to, boot, [this, member, inFlight](PoolCore &core) {
+                     core.loadsReported(this->events.now(), member, inFlight);
+                 });
+             });
+}
+
 void VirtualPool::requestStop(std::size_t instance)
 {
     this->input(instance, this->nodes.at(instance)->boot,
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -114,6 +114,8 @@
     [[nodiscard]] FleetStore &store() { return this->requests->store(); }
     [[nodiscard]] const PoolCore *core(std::size_t instance) const { return this->nodes.at(instance)->core.get(); }
     [[nodiscard]] const std::string &instanceDomain(std::size_t instance) const;
+    /// Delivers what a member has in flight at each server to another one, after the delay between their domains.
+    void reportLoads(std::size_t from, std::size_t to);
     void requestStop(std::size_t instance);
     /// Log lines of all instances: "instance event key=value ...".
     [[nodiscard]] const std::vector<std::string> &logLines() const { return this->lines; }
