--- a/tests/platform/storedecodertest.cpp
+++ b/tests/platform/storedecodertest.cpp
@@ -141,6 +141,17 @@
     std::ofstream(file) << good << "AdaptivePacing: true\n";
     EXPECT_TRUE(readEntrySettings(file, reason).value().adaptivePacing);
 
+    // Guards against a changed placement where the deployment does not ask for it, and against factors that would prefer
+    // primaries.
+    EXPECT_EQ(settings->primaryReadFactor, 2U);
+    std::ofstream(file) << good << "PrimaryReadFactor: 3\n";
+    EXPECT_EQ(readEntrySettings(file, reason).value().primaryReadFactor, 3U);
+    for (const char *const invalid : {"0", "101", "-1"}) {
+        std::ofstream(file) << good << "PrimaryReadFactor: " << invalid << "\n";
+        EXPECT_FALSE(readEntrySettings(file, reason).has_value());
+        EXPECT_NE(reason.text().find("PrimaryReadFactor"), std::string::npos) << reason.text();
+    }
+
     EXPECT_FALSE(settings->requiresKeys);
 
     std::ofstream(file) << replaced(good, "  Front: \"127.0.0.1:0\"\n", "");
--- a/tests/pool/serverchoosertest.cpp
+++ b/tests/pool/serverchoosertest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Jujubekeel {
@@ -120,6 +121,33 @@
     EXPECT_EQ(relaying.order("none").front(), "m4");
 }
 
+// Guards against reads that stay at a primary in the own region while, in a burst at twice the usual load, all of its
+// capacity is needed for the work that only it can do. The replica is in another region; with the factor 2 of the default the
+// read goes to the primary.
+TEST(ServerChooser, LargerFactorLeavesTheNearPrimaryToItsOwnWorkInABurst)
+{
+    RelayingWorld member("i1");
+    PoolWorld &world = member.world;
+    ServiceRow records;
+    const ServiceId service = world.services.insert(std::move(records));
+    const ServerId primary = world.servers.insert(
+        ServerRow{.entry = {.id = "p", .failureDomain = "near"}, .service = service, .responseTime = milliseconds(14)});
+    const ServerId replica = world.servers.insert(
+        ServerRow{.entry = {.id = "r", .failureDomain = "far"}, .service = service, .responseTime = milliseconds(10)});
+    ServiceRow &row = world.services.at(service);
+    row.servers = {primary, replica};
+    row.primary = primary;
+    SessionRow session;
+    session.work.emplace();
+    const auto first = [&] { return ServerChooser(world).readCandidates(session, service, LogPosition{}).front(); };
+    EXPECT_EQ(first(), primary);
+    world.options.primaryReadFactor = 3;
+    EXPECT_EQ(first(), replica);
+    // An idle primary still takes them: 9 ms and no way, against 10 ms and 20 ms for the way.
+    world.servers.at(primary).responseTime = milliseconds(9);
+    EXPECT_EQ(first(), primary);
+}
+
 } // namespace
 
 } // namespace Jujubekeel
