--- a/src/programs/jujubekeel-poolbench/main.cpp
+++ b/src/programs/jujubekeel-poolbench/main.cpp
@@ -1,11 +1,13 @@
 #include "programs/commandline/commandline.h"
 #include "programs/jujubekeel-poolbench/failovertable.h"
 #include "programs/jujubekeel-poolbench/pacetable.h"
+#include "programs/jujubekeel-poolbench/placingtable.h"
 #include "programs/jujubekeel-poolbench/sharingtable.h"
 #include "virtualpool/poolfaults.h"
 
 #include <cstdint>
 #include <cstdio>
+#include <optional>
 #include <utility>
 
 namespace {
@@ -22,6 +24,7 @@
   jujubekeel-poolbench failover [--seeds=N]
   jujubekeel-poolbench sharing [--seeds=N]
   jujubekeel-poolbench pace [--seeds=N] [--load=TEXT]
+  jujubekeel-poolbench placing [--seeds=N] [--plots=FOLDER]
   jujubekeel-poolbench (--help | --version)
 
 Options:
@@ -34,6 +37,7 @@
   --organisations  the callers belong to 40 organisations
   --paced      the work for a server is limited by how it answers, and is queued by latency objective
   --load=TEXT  only loads whose name contains TEXT
+  --plots=FOLDER  also write a plot of each load there, as SVG file
   -h --help    show this text
   --version    show the version
 
@@ -43,6 +47,7 @@
 sharing: a table of policies that choose the members for the work of an organisation.
 pace: a table of bursts, of slow, cold, failing and flapping servers and of organisations, without and with adaptive
 pacing and the queue order by latency objective.
+placing: a table of rules that choose servers and members under uneven demand.
 )";
 
 struct RunOptions
@@ -117,6 +122,11 @@
         printPaceTable(options.number("--seeds", 1, 1000), options.text("--load"));
         return 0;
     }
+    if (options.isGiven("placing")) {
+        printPlacingTable(options.number("--seeds", 1, 1000),
+                          options.isGiven("--plots") ? std::optional(options.text("--plots")) : std::nullopt);
+        return 0;
+    }
     const RunOptions run{.relays = options.isGiven("--relays"),
                          .restored = options.isGiven("--restored"),
                          .synchronous = options.isGiven("--sync"),
