Split SessionSystem by responsibility

OrganisationSystem now holds what concerns organisations and withdrawn keys, AdmissionSystem decides whether a transaction may begin and whether a statement becomes pending work, and SessionReplies sends the replies that need no server and ends sessions. Behaviour does not change.

--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -21,7 +21,11 @@
       rateLimits(
           this->world, this->links,
           [this](SessionId session, const RateDecision &decision) { this->sessions.rateDecided(session, decision); }),
-      sessions(this->world, this->dispatch, this->feedPublisher, this->rateLimits),
+      replies(this->world, this->dispatch, this->rateLimits),
+      organisationSystem(this->world, this->dispatch, this->replies),
+      admission(this->world, this->dispatch, this->rateLimits, this->organisationSystem, this->replies),
+      sessions(this->world, this->dispatch, this->feedPublisher, this->rateLimits, this->replies,
+               this->organisationSystem, this->admission),
       directory(this->world, this->links, this->dispatch, this->results), registration(this->world, leadershipOptions),
       leadership(this->world, this->dispatch, this->results, this->registration, leadershipOptions),
       replacement(this->world, this->links, this->leadership, this->registration, leadershipOptions),
@@ -32,7 +36,7 @@
            .organisations =
                [this](const std::shared_ptr<const OrganisationTable> &organisations) {
                    this->applyOrganisations(organisations);
-                   this->sessions.organisationsChanged();
+                   this->organisationSystem.organisationsChanged();
                    this->feedPublisher.publish();
                },
            .members = [this](const FleetUpdate &update) { this->membersReported(update); }})
@@ -90,7 +94,7 @@
 void PoolCore::callerDisconnected(TimePoint now, SessionId session)
 {
     this->world.now = now;
-    this->sessions.end(session);
+    this->replies.end(session);
 }
 
 void PoolCore::linkConnected(TimePoint now, LinkId link)
@@ -178,7 +182,7 @@
     if (!organisations && this->world.usesOrganisations())
         organisations = std::make_shared<const OrganisationTable>(this->world.routes->version());
     this->applyOrganisations(organisations);
-    this->sessions.organisationsChanged();
+    this->organisationSystem.organisationsChanged();
     this->directory.servicesChanged();
     this->sessions.routesReceived();
     if (current == 0 && this->world.usesOrganisations())
@@ -313,7 +317,7 @@
         this->sessions.checkOpening(SessionId::fromPacked(entry.subject));
         return;
     case TimerKind::WithdrawnKey:
-        this->sessions.checkWithdrawn(SessionId::fromPacked(entry.subject));
+        this->organisationSystem.checkWithdrawn(SessionId::fromPacked(entry.subject));
         return;
     case TimerKind::TransactionIdle:
         this->sessions.checkIdleTransaction(SessionId::fromPacked(entry.subject));
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -5,15 +5,18 @@
 #include "leadership/recoverysystem.h"
 #include "leadership/registrationsystem.h"
 #include "leadership/replacementsystem.h"
+#include "pool/admissionsystem.h"
 #include "pool/directorysystem.h"
 #include "pool/dispatchsystem.h"
 #include "pool/feedpublisher.h"
 #include "pool/feedsubscriber.h"
 #include "pool/linksystem.h"
+#include "pool/organisationsystem.h"
 #include "pool/poolworld.h"
 #include "pool/ratelimitsystem.h"
 #include "pool/relaysystem.h"
 #include "pool/resultsystem.h"
+#include "pool/sessionreplies.h"
 #include "pool/sessionsystem.h"
 
 #include <cstdint>
@@ -127,6 +130,9 @@
     ResultSystem results;
     FeedPublisher feedPublisher;
     RateLimitSystem rateLimits;
+    SessionReplies replies;
+    OrganisationSystem organisationSystem;
+    AdmissionSystem admission;
     SessionSystem sessions;
     DirectorySystem directory;
     RegistrationSystem registration;
--- a/src/pool/sessionrow.h
+++ b/src/pool/sessionrow.h
@@ -62,8 +62,8 @@
     TimePoint lastActiveAt{0};
 };
 
-/// Session of one caller, or of another instance that relays work. Written by SessionSystem, DispatchSystem and
-/// ResultSystem.
+/// Session of one caller, or of another instance that relays work. Written by SessionSystem,
+/// OrganisationSystem, AdmissionSystem, SessionReplies, DispatchSystem and ResultSystem.
 struct SessionRow
 {
     std::string database;
