Split RateLimitSystem::checkTimeouts by its steps

Expiring requests, refusing operations that have waited for too long, and arming the next timer are now functions of their own. Behaviour does not change.

--- a/src/pool/ratelimitsystem.cpp
+++ b/src/pool/ratelimitsystem.cpp
@@ -305,6 +305,13 @@
     if (!this->timerDue || this->world.now < *this->timerDue)
         return;
     this->timerDue.reset();
+    this->expireRequests();
+    this->refuseLate();
+    this->armNextTimeout();
+}
+
+void RateLimitSystem::expireRequests()
+{
     std::vector<LinkId> silent;
     for (auto &[packed, requests] : this->outstanding) {
         if (this->world.now - requests.front().request.sentAt >= linkSilence)
@@ -325,8 +332,10 @@
     this->linkEnded();
     this->sendRequests();
     this->decideAnswered();
+}
 
-    // Operations that have waited for too long.
+void RateLimitSystem::refuseLate()
+{
     std::vector<std::pair<SessionId, RateDecision>> late;
     for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
         while (!entry->second.empty() && entry->second.front().deadline <= this->world.now) {
@@ -340,7 +349,10 @@
     }
     for (const auto &[session, decision] : late)
         this->decided(session, decision);
+}
 
+void RateLimitSystem::armNextTimeout()
+{
     for (const auto &[organisation, operations] : this->waiting)
         this->armTimer(operations.front().deadline);
     for (const auto &[packed, requests] : this->outstanding) {
--- a/src/pool/ratelimitsystem.h
+++ b/src/pool/ratelimitsystem.h
@@ -84,6 +84,12 @@
     /// Reports decisions about operations that waited for the organisation's requests.
     void decideWaiting(const std::string &organisation);
     void decideAnswered();
+    /// Reports requests whose time is over as unanswered, and closes links that are silent for too long.
+    void expireRequests();
+    /// Refuses operations that have waited for too long.
+    void refuseLate();
+    /// Arms the timer for the requests and operations that are left.
+    void armNextTimeout();
     void count(const RateDecision &decision);
     void armTimer(TimePoint due);
 
