--- a/src/catalog/organisationjson.cpp
+++ b/src/catalog/organisationjson.cpp
@@ -1,5 +1,7 @@
 #include "catalog/organisationjson.h"
 
+#include "catalog/jsonerrors.h"
+
 #include <nlohmann/json.hpp>
 
 #include <map>
@@ -12,9 +14,6 @@
 
 using Json = nlohmann::json;
 
-/// Error id of a value that has the right type but is out of range.
-constexpr int valueOutOfRange = 599;
-
 } // namespace
 
 Json toJson(const Organisation &organisation)
--- a/src/catalog/routejson.cpp
+++ b/src/catalog/routejson.cpp
@@ -1,5 +1,6 @@
 #include "catalog/routejson.h"
 
+#include "catalog/jsonerrors.h"
 #include "catalog/organisationjson.h"
 
 #include <nlohmann/json.hpp>
@@ -13,9 +14,6 @@
 
 using Json = nlohmann::json;
 
-/// Error id of a value that has the right type but is out of range.
-constexpr int valueOutOfRange = 599;
-
 } // namespace
 
 Json toJson(const Route &route)
