--- a/src/pool/pooloptions.h
+++ b/src/pool/pooloptions.h
@@ -36,8 +36,8 @@
 
     bool requiresKeys = false; ///< callers need a key even if the configuration names no organisation
 
-    bool adaptivePacing = false;   ///< the work for a backend server is limited by how it answers
-    bool queueByObjective = false; ///< work that can be answered within its latency objective goes before late work
+    bool adaptivePacing = false;  ///< the work for a backend server is limited by how it answers
+    bool queueByObjective = true; ///< work that can be answered within its latency objective goes before late work
 
     PlacementRule placement = PlacementRule::ShortestWait;
     /// Factor on the expected wait of the primary for other reads: it is left to writes and reads of `primary` routes,
--- a/tests/platform/storedecodertest.cpp
+++ b/tests/platform/storedecodertest.cpp
@@ -142,9 +142,11 @@
     EXPECT_TRUE(readEntrySettings(file, reason).value().adaptivePacing);
 
     // Guards against a misspelt order being taken for the default.
-    EXPECT_FALSE(settings->queueByObjective);
+    EXPECT_TRUE(settings->queueByObjective);
     std::ofstream(file) << good << "QueueOrder: objective\n";
     EXPECT_TRUE(readEntrySettings(file, reason).value().queueByObjective);
+    std::ofstream(file) << good << "QueueOrder: arrival\n";
+    EXPECT_FALSE(readEntrySettings(file, reason).value().queueByObjective);
     std::ofstream(file) << good << "QueueOrder: objectives\n";
     EXPECT_FALSE(readEntrySettings(file, reason).has_value());
     // Guards against a changed placement where the deployment does not ask for it, and against factors that would prefer
