Share the set-up of the tests with entry instances

organisations.sh, ratelimit.sh, statements.sh, storerestored.sh and the crowd tests each repeated the variables, the trap and the start of the fake platform and of the instances; ratelimit.sh also had a copy of start_entry, and two tests had their own open_with_key.

No check or bound of a test is changed.

--- a/tests/process/organisations.sh
+++ b/tests/process/organisations.sh
@@ -1,15 +1,8 @@
 #!/usr/bin/env bash
 # Guards against the daemon serving callers whose key is unknown or withdrawn, opening connections in another name than
 # that of the caller's organisation, or writing a key to a log or to a server.
-set -euo pipefail
-source=${JUJUBEKEEL_SOURCE_DIR:?}
-build=${JUJUBEKEEL_BINARY_DIR:?}
-work=$(mktemp -d)
-# shellcheck source=tools/lib/fleet.sh
-. "$source/tools/lib/fleet.sh"
-# shellcheck source=tools/lib/statements.sh
-. "$source/tools/lib/statements.sh"
-trap report_and_stop EXIT
+# shellcheck source=tools/lib/entries.sh
+. "${JUJUBEKEEL_SOURCE_DIR:?}/tools/lib/entries.sh"
 
 # Part of each key, to be looked for where no key may be.
 mark=k3ysecret
@@ -28,13 +21,6 @@
             "http://$store_address/api/objects/config/main" >/dev/null
 }
 
-# open_with_key NUMBER DATABASE [KEY]: connects file descriptor 5 to entry instance NUMBER and opens a session.
-open_with_key() {
-    exec 5<>"/dev/tcp/$statement_network.1$1/7200" || return 1
-    printf 'CONNECT %s%s\r\n' "$2" "${3:+ $3}" >&5
-    read_answer
-}
-
 # write_with_key NUMBER DATABASE ID [KEY]: repeats a write until it is acknowledged.
 write_with_key() {
     local attempt=0
@@ -73,8 +59,7 @@
 step="start"
 start_statement_platform
 put_tenants 2 "[$guild, $parish]" || fail "the configuration was not accepted"
-start_entry first 1
-start_entry second 2
+start_entries first second
 
 step="unknown keys"
 for instance in 1 2; do
@@ -114,8 +99,7 @@
 expect_no_key_in_logs
 kill_process first
 kill_process second
-start_entry first 1
-start_entry second 2
+start_entries first second
 for instance in 1 2; do
     expect_denied "$instance" "$mark-guild"
     expect_denied "$instance" "$mark-unknown"
--- a/tests/process/ratelimit.sh
+++ b/tests/process/ratelimit.sh
@@ -1,33 +1,12 @@
 #!/usr/bin/env bash
 # Guards against real processes that count each other's operations not at all or twice: the requests between instances
 # pass the line protocol and real connections here.
-set -euo pipefail
-source=${JUJUBEKEEL_SOURCE_DIR:?}
-build=${JUJUBEKEEL_BINARY_DIR:?}
-work=$(mktemp -d)
-# shellcheck source=tools/lib/fleet.sh
-. "$source/tools/lib/fleet.sh"
-# shellcheck source=tools/lib/statements.sh
-. "$source/tools/lib/statements.sh"
-trap report_and_stop EXIT
+# shellcheck source=tools/lib/entries.sh
+. "${JUJUBEKEEL_SOURCE_DIR:?}/tools/lib/entries.sh"
 
 # start_peer NAME NUMBER: as start_entry, with an address for other instances.
 start_peer() {
-    local name=$1 network="$statement_network.1$2"
-    cat >"$work/$name.yaml" <<SETTINGS
-NodeName: "$name"
-Zone: "d0"
-Region: "north"
-Zones: { d0: "north", d1: "north", d2: "south" }
-Ip: "$network"
-PortRange: [7210, 7219]
-Listen: { Front: "$network:7200", ReadyAddr: "$network:7201", ControlAddr: "$network:7202" }
-Bounds: { GraceS: 6 }
-platform: { Address: "$store_address" }
-CloudApi: { Address: "$store_address" }
-SETTINGS
-    start_process "$name" "$build/bin/jujubekeel-entry" --settings="$work/$name.yaml"
-    wait_until 20 curl -sf "http://$network:7201/api/readiness" || fail "$name was not ready within 20 s"
+    start_entry "$1" "$2" "Ip: \"$statement_network.1$2\"" "PortRange: [7210, 7219]"
 }
 
 # put_limits VERSION: as put_routes, with two organisations; acme may run 10 operations per second.
@@ -40,16 +19,9 @@
             "http://$store_address/api/objects/config/main" >/dev/null
 }
 
-# open_with_key NUMBER KEY: opens a session on the database lookups.
-open_with_key() {
-    exec 5<>"/dev/tcp/$statement_network.1$1/7200" || return 1
-    printf 'CONNECT lookups %s\r\n' "$2" >&5
-    read_answer
-}
-
-# read_of NUMBER KEY: runs one read in a session of its own.
+# read_of NUMBER KEY: runs one read in a session of its own, on the database lookups.
 read_of() {
-    open_with_key "$1" "$2" || return 1
+    open_with_key "$1" lookups "$2" || return 1
     statement "r-$RANDOM$RANDOM" "READ item" || true
     close_session
     [[ $answer == *DONE*READY* ]]
--- a/tests/process/statements.sh
+++ b/tests/process/statements.sh
@@ -2,20 +2,10 @@
 # Guards against real processes that behave differently from the decision library, over the statement protocol:
 # transactions, errors, a new configuration, an outage of the store, a killed primary, a killed instance and a planned
 # stop.
-set -euo pipefail
-source=${JUJUBEKEEL_SOURCE_DIR:?}
-build=${JUJUBEKEEL_BINARY_DIR:?}
-work=$(mktemp -d)
-# shellcheck source=tools/lib/fleet.sh
-. "$source/tools/lib/fleet.sh"
-# shellcheck source=tools/lib/statements.sh
-. "$source/tools/lib/statements.sh"
-trap report_and_stop EXIT
-
-step="start"
-start_statement_platform
-start_entry first 1
-start_entry second 2
+# shellcheck source=tools/lib/entries.sh
+. "${JUJUBEKEEL_SOURCE_DIR:?}/tools/lib/entries.sh"
+
+start_platform_and_entries first second
 
 step="a transaction reads its own write"
 write_until_done 1 filings warm || fail "no write was acknowledged: $answer"
--- a/tests/process/storerestored.sh
+++ b/tests/process/storerestored.sh
@@ -1,20 +1,10 @@
 #!/usr/bin/env bash
 # Guards against real processes that stop serving when the platform's store returns from an older copy: configurations
 # that are not in force, leases that expire, primaries that are not replaced any more.
-set -euo pipefail
-source=${JUJUBEKEEL_SOURCE_DIR:?}
-build=${JUJUBEKEEL_BINARY_DIR:?}
-work=$(mktemp -d)
-# shellcheck source=tools/lib/fleet.sh
-. "$source/tools/lib/fleet.sh"
-# shellcheck source=tools/lib/statements.sh
-. "$source/tools/lib/statements.sh"
-trap report_and_stop EXIT
+# shellcheck source=tools/lib/entries.sh
+. "${JUJUBEKEEL_SOURCE_DIR:?}/tools/lib/entries.sh"
 
-step="start"
-start_statement_platform
-start_entry first 1
-start_entry second 2
+start_platform_and_entries first second
 write_until_done 1 filings warm || fail "no write was acknowledged: $answer"
 
 step="changes after the copy"
--- a/tools/lib/crowd.sh
+++ b/tools/lib/crowd.sh
@@ -3,16 +3,8 @@
 # Functions of the tests with clients that exceed the limits (tests/process/crowd-*.sh). They start one entry instance
 # with lowered limits, run a crowd of such clients against it, and check that the process lives, that its memory and its
 # descriptors stay under a bound, and that one ordinary request is answered. Nothing here checks times.
-set -euo pipefail
-
-source=${JUJUBEKEEL_SOURCE_DIR:?}
-build=${JUJUBEKEEL_BINARY_DIR:?}
-work=$(mktemp -d)
-# shellcheck source=tools/lib/fleet.sh
-. "$source/tools/lib/fleet.sh"
-# shellcheck source=tools/lib/statements.sh
-. "$source/tools/lib/statements.sh"
-trap report_and_stop EXIT
+# shellcheck source=tools/lib/entries.sh
+. "${JUJUBEKEEL_SOURCE_DIR:?}/tools/lib/entries.sh"
 
 # The limits of the entry instance. Crowds and bounds were fixed on the code without limits for such clients, where each
 # of these tests failed.
@@ -26,9 +18,7 @@
 
 # start_crowd_target: starts the fake platform and the entry instance, which serves one ordinary request.
 start_crowd_target() {
-    step="start"
-    start_statement_platform
-    start_entry target 1
+    start_platform_and_entries target
     target_pid=${fleet_pid_of[target]}
     write_until_done 1 filings calm || fail "no write was acknowledged before the crowd: $answer"
 }
--- a/tools/lib/statements.sh
+++ b/tools/lib/statements.sh
@@ -32,8 +32,8 @@
     put_routes 1 filings lookups || fail "the configuration was not accepted"
 }
 
-# start_entry NAME NUMBER: starts an entry instance and waits until it is ready for callers. The variable entry_settings
-# may hold further lines of its settings.
+# start_entry NAME NUMBER [LINES...]: starts an entry instance and waits until it is ready for callers. LINES and the
+# variable entry_settings are further lines of its settings.
 start_entry() {
     local name=$1 network="$statement_network.1$2"
     cat >"$work/$name.yaml" <<SETTINGS
@@ -47,17 +47,23 @@
 CloudApi: { Address: "$store_address" }
 ${entry_settings:-}
 SETTINGS
+    [ $# -le 2 ] || printf '%s\n' "${@:3}" >>"$work/$name.yaml"
     start_process "$name" "$build/bin/jujubekeel-entry" --settings="$work/$name.yaml"
     wait_until 20 curl -sf "http://$network:7201/api/readiness" || fail "$name was not ready within 20 s"
 }
 
-# open_session NUMBER DATABASE: connects file descriptor 5 to entry instance NUMBER and opens a session.
-open_session() {
+# open_with_key NUMBER DATABASE [KEY]: connects file descriptor 5 to entry instance NUMBER and opens a session.
+open_with_key() {
     exec 5<>"/dev/tcp/$statement_network.1$1/7200" || return 1
-    printf 'CONNECT %s caller\r\n' "$2" >&5
+    printf 'CONNECT %s%s\r\n' "$2" "${3:+ $3}" >&5
     read_answer
 }
 
+# open_session NUMBER DATABASE: as open_with_key, with the key "caller".
+open_session() {
+    open_with_key "$1" "$2" caller
+}
+
 # close_session: ends the open session and closes file descriptor 5.
 close_session() {
     printf 'BYE\r\n' >&5 2>/dev/null || true
