--- a/tests/ratelimit/rategrantortest.cpp
+++ b/tests/ratelimit/rategrantortest.cpp
@@ -236,6 +236,7 @@
 TEST(RateRanks, EachRegionHasAMemberThatItAsksFirst)
 {
     std::vector<RateMember> members;
+    members.reserve(15);
     for (int number = 0; number < 15; ++number)
         members.push_back({.name = "m" + std::to_string(number),
                            .region = number < 9    ? "north"
