--- a/tools/lib/crowd.sh
+++ b/tools/lib/crowd.sh
@@ -23,7 +23,6 @@
 
 # start_crowd_target: starts the fake platform and the entry instance, which serves one ordinary request.
 start_crowd_target() {
-<<<<<<< HEAD
     step="start"
     start_statement_platform
     start_crowd_entry
@@ -33,10 +32,6 @@
 start_crowd_entry() {
     start_entry target 1
     crowd_targets=(target)
-=======
-    start_platform_and_entries target
-    target_pid=${fleet_pid_of[target]}
->>>>>>> part-struct
     write_until_done 1 filings calm || fail "no write was acknowledged before the crowd: $answer"
 }
 
--- a/tools/lib/statements.sh
+++ b/tools/lib/statements.sh
@@ -42,14 +42,9 @@
     put_routes 1 filings lookups || fail "the configuration was not accepted"
 }
 
-<<<<<<< HEAD
-# start_entry NAME NUMBER: starts an entry instance and waits until it is ready for callers. The variable entry_settings
-# may hold further lines of its settings, the array entry_wrapper a command that starts the program.
-entry_wrapper=()
-=======
 # start_entry NAME NUMBER [LINES...]: starts an entry instance and waits until it is ready for callers. LINES and the
-# variable entry_settings are further lines of its settings.
->>>>>>> part-struct
+# variable entry_settings are further lines of its settings, the array entry_wrapper is a command that starts the program.
+entry_wrapper=()
 start_entry() {
     local name=$1 network="$statement_network.1$2"
     cat >"$work/$name.yaml" <<SETTINGS
@@ -63,12 +58,8 @@
 CloudApi: { Address: "$store_address" }
 ${entry_settings:-}
 SETTINGS
-<<<<<<< HEAD
-    start_process "$name" "${entry_wrapper[@]}" "$build/bin/jujubekeel-entry" --settings="$work/$name.yaml"
-=======
     [ $# -le 2 ] || printf '%s\n' "${@:3}" >>"$work/$name.yaml"
-    start_process "$name" "$build/bin/jujubekeel-entry" --settings="$work/$name.yaml"
->>>>>>> part-struct
+    start_process "$name" "${entry_wrapper[@]}" "$build/bin/jujubekeel-entry" --settings="$work/$name.yaml"
     wait_until 20 curl -sf "http://$network:7201/api/readiness" || fail "$name was not ready within 20 s"
 }
 
