--- a/src/ratelimit/ratespender.cpp
+++ b/src/ratelimit/ratespender.cpp
@@ -15,7 +15,8 @@
         found = this->rows.emplace(std::string(organisation), Row{}).first;
     Row &row = found->second;
     this->countOperation(row, now);
-    if (row.waiting == 0 && this->takeFromStock(row, now)) {
+    if (row.waiting == 0 && takeFromStock(row, now)) {
+        this->countAdmitted(row, now);
         this->planRequest(found->first, row, now);
         return RateDecision{.verdict = RateVerdict::Taken};
     }
@@ -24,7 +25,7 @@
         return RateDecision{.verdict = RateVerdict::Taken};
     }
     if (!row.asked && !placeToAsk(row, now))
-        return this->refuse(row, now);
+        return this->refusal(row, now);
     row.waiting += 1;
     this->planRequest(found->first, row, now);
     return RateDecision{.verdict = RateVerdict::Wait};
@@ -33,7 +34,8 @@
 RateDecision RateSpender::takeWaiting(std::string_view organisation, TimePoint now)
 {
     Row &row = this->rows.find(organisation)->second;
-    if (this->takeFromStock(row, now)) {
+    if (takeFromStock(row, now)) {
+        this->countAdmitted(row, now);
         workTaken(row);
         return RateDecision{.verdict = RateVerdict::Taken};
     }
@@ -44,14 +46,6 @@
     if (row.asked || placeToAsk(row, now))
         return RateDecision{.verdict = RateVerdict::Wait};
     workTaken(row);
-    return this->refuse(row, now);
-}
-
-RateDecision RateSpender::refuse(Row &row, TimePoint now) const
-{
-    // Demand that a silent member cannot serve makes the others short, which does not show that the limit is reached.
-    if (!isAnySilent(row))
-        row.deniedAt = now;
     return this->refusal(row, now);
 }
 
@@ -75,11 +69,9 @@
 
 RateDecision RateSpender::refusal(const Row &row, TimePoint now) const
 {
-    const auto earliest =
-        std::min_element(row.sources.begin(), row.sources.end(),
-                         [](const Source &left, const Source &right) { return left.pausedUntil < right.pausedUntil; });
+    const TimePoint earliest = *std::min_element(row.pausedUntil.begin(), row.pausedUntil.end());
     return RateDecision{.verdict = RateVerdict::Refused,
-                        .retryAfter = std::max(earliest->pausedUntil - now, this->options.minRetry)};
+                        .retryAfter = std::max(earliest - now, this->options.minRetry)};
 }
 
 std::optional<RateRequest> RateSpender::nextRequest(TimePoint now)
@@ -114,14 +106,14 @@
         return;
     Row &row = found->second;
     const bool isShort = grant.granted < request.wanted;
-    Source &source = row.sources[request.place];
-    source.pausedUntil = isShort ? now + grant.retryAfter : TimePoint{0};
-    source.isSilent = false;
+    row.pausedUntil[request.place] = isShort ? now + grant.retryAfter : TimePoint{0};
+    row.silentUntil[request.place] = TimePoint{0};
+    if (isShort)
+        row.deniedAt = now;
     const TimePoint expiresAt = request.sentAt + this->options.hold;
     if (grant.granted > 0 && now < expiresAt) {
         // A member is not trusted to keep to the number that was requested.
-        addLot(row,
-               Lot{.expiresAt = expiresAt, .count = std::min(grant.granted, request.wanted), .place = request.place});
+        addLot(row, Lot{.expiresAt = expiresAt, .count = std::min(grant.granted, request.wanted)});
     }
     this->finishRequest(request, row, now);
 }
@@ -146,9 +138,8 @@
     const auto found = this->rows.find(request.organisation);
     if (found == this->rows.end())
         return;
-    Source &source = found->second.sources[request.place];
-    source.pausedUntil = now + this->options.silentPause;
-    source.isSilent = true;
+    found->second.pausedUntil[request.place] = now + this->options.silentPause;
+    found->second.silentUntil[request.place] = now + this->options.silentPause;
     this->finishRequest(request, found->second, now);
 }
 
@@ -167,7 +158,7 @@
 void RateSpender::membersChanged()
 {
     for (auto &[name, row] : this->rows)
-        row.sources.fill(Source{});
+        row.pausedUntil.fill(TimePoint{0});
 }
 
 void RateSpender::setTable(const OrganisationTable &table)
@@ -180,17 +171,14 @@
 
 bool RateSpender::takeFromReserve(Row &row, TimePoint now) const
 {
-    if (!isAnySilent(row))
+    const bool isAnySilent =
+        std::any_of(row.silentUntil.begin(), row.silentUntil.end(), [&](TimePoint until) { return until > now; });
+    if (!isAnySilent)
         return false;
     if (row.deniedAt.count() != 0 && now - row.deniedAt < this->options.deniedMemory)
         return false;
-    double rate = 0;
-    for (const Source &source : row.sources) {
-        const double decay = toSeconds(this->options.reserveDecay);
-        if (source.isSilent)
-            rate += source.admittedRate * std::exp(-toSeconds(now - source.admittedAt) / decay);
-    }
-    rate *= this->options.reserveFactor;
+    const double sinceAdmitted = toSeconds(now - row.admittedAt) / toSeconds(this->options.admittedAveragingTime);
+    const double rate = row.admittedRate * std::exp(-sinceAdmitted) * this->options.reserveFactor;
     const double capacity = std::max(1.0, rate * toSeconds(this->options.foresight));
     // The time before the members became silent counts up to the capacity.
     row.reserve = std::min(row.reserve + rate * toSeconds(now - row.reserveAt), capacity);
@@ -201,23 +189,17 @@
     return true;
 }
 
-bool RateSpender::isAnySilent(const Row &row)
-{
-    return std::any_of(row.sources.begin(), row.sources.end(), [](const Source &source) { return source.isSilent; });
-}
-
-void RateSpender::countAdmitted(Source &source, TimePoint now) const
+void RateSpender::countAdmitted(Row &row, TimePoint now) const
 {
     const double average = toSeconds(this->options.admittedAveragingTime);
-    source.admittedRate = source.admittedRate * std::exp(-toSeconds(now - source.admittedAt) / average) + 1 / average;
-    source.admittedAt = now;
+    row.admittedRate = row.admittedRate * std::exp(-toSeconds(now - row.admittedAt) / average) + 1 / average;
+    row.admittedAt = now;
 }
 
-bool RateSpender::takeFromStock(Row &row, TimePoint now) const
+bool RateSpender::takeFromStock(Row &row, TimePoint now)
 {
     if (stock(row, now) == 0)
         return false;
-    this->countAdmitted(row.sources[row.lots.front().place], now);
     row.lots.front().count -= 1;
     if (row.lots.front().count == 0)
         row.lots.pop_front();
@@ -250,7 +232,7 @@
 std::optional<std::size_t> RateSpender::placeToAsk(const Row &row, TimePoint now)
 {
     for (std::size_t place = row.nextPlace; place < RateRanks::count; ++place) {
-        if (row.sources[place].pausedUntil <= now)
+        if (row.pausedUntil[place] <= now)
             return place;
     }
     return std::nullopt;
--- a/src/ratelimit/ratespender.h
+++ b/src/ratelimit/ratespender.h
@@ -28,14 +28,12 @@
     Duration foresight = std::chrono::milliseconds(200); ///< operations expected within this time are requested too
     Duration averagingTime = std::chrono::milliseconds(1000); ///< of the organisation's own rate at this instance
     Duration silentPause = std::chrono::milliseconds(500); ///< a member that did not answer is not asked again before
-    /// While a member does not answer, this multiple of the rate at which operations ran on its grants may run without
-    /// one. Members that are slow or gone would otherwise stop organisations far below their limit. Not for an
-    /// organisation of which operations were refused within `deniedMemory` while all answered: only such a one could
-    /// exceed its limit by this.
+    /// While a member does not answer, this multiple of the rate at which operations ran on grants may run without one.
+    /// Members that are slow for a moment would otherwise stop organisations far below their limit. Not for an
+    /// organisation that was denied operations within `deniedMemory`: only such a one could exceed its limit by this.
     double reserveFactor = 1.0;
     Duration deniedMemory = std::chrono::seconds(5);
     Duration admittedAveragingTime = std::chrono::seconds(3);
-    Duration reserveDecay = std::chrono::seconds(20);  ///< in this time the reserve for a silent member falls to 37 %
     Duration minRetry = std::chrono::milliseconds(20); ///< shortest time after which callers are told to retry
 };
 
@@ -77,37 +75,30 @@
     {
         TimePoint expiresAt{0};
         std::uint32_t count = 0;
-        std::size_t place = 0; ///< of the member that has granted them
-    };
-    /// What is known about one member's answers for an organisation.
-    struct Source
-    {
-        TimePoint pausedUntil{0};
-        bool isSilent = false;   ///< it has not answered the last request
-        double admittedRate = 0; ///< operations per second that ran on its grants, moving average
-        TimePoint admittedAt{0};
     };
     struct Row
     {
         std::deque<Lot> lots; ///< in order of expiry
         std::uint32_t waiting = 0;
-        std::optional<std::uint64_t> asked;             ///< serial of the request in progress
-        std::array<Source, RateRanks::count> sources{}; ///< by place
-        std::size_t nextPlace = 0;                      ///< earlier ones have been asked for the operations that wait
-        bool isQueued = false;                          ///< contained in `queued`
-        TimePoint deniedAt{0}; ///< when an operation was last refused while all members answered; 0: never
-        double reserve = 0;    ///< operations that may run without a grant
+        std::optional<std::uint64_t> asked;                    ///< serial of the request in progress
+        std::array<TimePoint, RateRanks::count> pausedUntil{}; ///< by place
+        std::size_t nextPlace = 0; ///< earlier ones have been asked for the operations that wait
+        bool isQueued = false;     ///< contained in `queued`
+        std::array<TimePoint, RateRanks::count> silentUntil{}; ///< by place; 0: it has answered
+        TimePoint deniedAt{0};   ///< last answer that granted less than requested; 0: none
+        double admittedRate = 0; ///< operations per second that ran on grants, moving average
+        TimePoint admittedAt{0};
+        double reserve = 0; ///< operations that may run without a grant
         TimePoint reserveAt{0};
         double rate = 0; ///< operations per second, moving average
         TimePoint ratedAt{0};
     };
 
     static void addLot(Row &row, Lot lot);
-    [[nodiscard]] bool takeFromStock(Row &row, TimePoint now) const;
+    [[nodiscard]] static bool takeFromStock(Row &row, TimePoint now);
     /// Takes an operation that no member has granted, because one did not answer.
     [[nodiscard]] bool takeFromReserve(Row &row, TimePoint now) const;
-    void countAdmitted(Source &source, TimePoint now) const;
-    [[nodiscard]] static bool isAnySilent(const Row &row);
+    void countAdmitted(Row &row, TimePoint now) const;
     [[nodiscard]] static std::uint32_t stock(Row &row, TimePoint now);
     /// Whole operations expected within `foresight`.
     [[nodiscard]] std::uint32_t expected(const Row &row, TimePoint now) const;
@@ -115,7 +106,6 @@
     /// Place of the next member that may be asked; empty if there is none.
     [[nodiscard]] static std::optional<std::size_t> placeToAsk(const Row &row, TimePoint now);
     [[nodiscard]] RateDecision refusal(const Row &row, TimePoint now) const;
-    [[nodiscard]] RateDecision refuse(Row &row, TimePoint now) const;
     /// Plans a request if operations wait or the stock is low.
     void planRequest(std::string_view organisation, Row &row, TimePoint now);
     /// The request to a member has ended; those after it are asked next.
