--- a/src/catalog/boundedjson.cpp
+++ b/src/catalog/boundedjson.cpp
@@ -19,7 +19,6 @@
 /// list again after each object in it, which took 268 s for a list of 340,000 objects (1 MB).
 std::optional<std::size_t> limitFaultOffset(std::string_view text)
 {
-    constexpr std::string_view blanks = " \t\r\n";
     std::size_t open = 0;
     std::size_t values = 1;
     bool isInString = false;
@@ -32,18 +31,18 @@
                 isInString = false;
             continue;
         }
-        const bool isEnd = letter == ']' || letter == '}';
-        if (open > maxDepth && !isEnd && blanks.find(letter) == std::string_view::npos)
-            return at;
         values += letter == '[' || letter == '{' || letter == ',' ? 1 : 0;
         if (values > maxValues)
             return at;
-        if (letter == '"')
+        if (letter == '"') {
             isInString = true;
-        else if (letter == '[' || letter == '{')
+        } else if (letter == '[' || letter == '{') {
             open += 1;
-        else if (isEnd && open > 0)
+            if (open > maxDepth)
+                return at;
+        } else if ((letter == ']' || letter == '}') && open > 0) {
             open -= 1;
+        }
     }
     return std::nullopt;
 }
