--- a/review/platform-2/cases.h
+++ b/review/platform-2/cases.h
@@ -23,4 +23,7 @@
 /// RECOVER: a database without a replaced primary gets none after all instances have restarted.
 Verdict runNoPrimary(const CaseOptions &options, Recorder &recorder);
 
+/// LOST: an instance that is being stopped takes a transaction late and closes the connection within it.
+Verdict runLateTransaction(const CaseOptions &options, Recorder &recorder);
+
 } // namespace Review
--- a/review/platform-2/main.cpp
+++ b/review/platform-2/main.cpp
@@ -13,6 +13,7 @@
 
 const std::map<std::string, Case> cases{
     {"lost-commit", Review::runLostCommit},
+    {"late-transaction", Review::runLateTransaction},
     {"old-primary", Review::runOldPrimary},
     {"no-primary", Review::runNoPrimary},
 };
--- a/review/platform-2/requester.cpp
+++ b/review/platform-2/requester.cpp
@@ -1,5 +1,6 @@
 #include "requester.h"
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -79,6 +80,12 @@
     return answer;
 }
 
+bool Requester::hasEnded() const
+{
+    char letter = 0;
+    return this->descriptor < 0 || ::recv(this->descriptor, &letter, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void Requester::close()
 {
     if (this->descriptor >= 0)
--- a/review/platform-2/requester.h
+++ b/review/platform-2/requester.h
@@ -34,6 +34,8 @@
     /// Sends a request with a new id and waits for its answer.
     Answer ask(const std::string &statement, int timeoutMs);
     [[nodiscard]] const std::string &lastId() const { return this->id; }
+    /// Whether the end of the connection has arrived.
+    [[nodiscard]] bool hasEnded() const;
     void close();
 
 private:
