review case 8: a former primary is promoted again though the replica holds what was acknowledged since

Tried: a first replacement while the primary is cut off, then a planned replacement of its successor while the replica receives nothing. The cases about the missing primary and about late transactions are 9 and 10 now.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# LOST: an instance that is being stopped takes transactions late and closes their connections before they have ended.
+# RECOVER: a database whose first primary is lost together with the instances' memory gets no primary any more.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
@@ -12,7 +12,7 @@
 fi
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-TROUBLE=${TROUBLE:-1} timeout --kill-after=2 115 "$runner" late-transaction "$program" "$folder" "$here/record.txt"
+TROUBLE=${TROUBLE:-1} timeout --kill-after=2 115 "$runner" no-primary "$program" "$folder" "$here/record.txt"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/platform-2/cases.h
+++ b/review/platform-2/cases.h
@@ -20,6 +20,8 @@
 Verdict runLostCommit(const CaseOptions &options, Recorder &recorder);
 /// ONE: the store returns without the record of a replacement, all instances restart, and the old primary is used again.
 Verdict runOldPrimary(const CaseOptions &options, Recorder &recorder);
+/// STALE: a former primary that was replaced is promoted again, with commits that reads in between have lacked.
+Verdict runStalePrimary(const CaseOptions &options, Recorder &recorder);
 /// RECOVER: a database without a replaced primary gets none after all instances have restarted.
 Verdict runNoPrimary(const CaseOptions &options, Recorder &recorder);
 
--- a/review/platform-2/databasegroup.cpp
+++ b/review/platform-2/databasegroup.cpp
@@ -124,6 +124,13 @@
                          cutOff ? "is cut off from the other servers" : "reaches the others again");
 }
 
+void DatabaseGroup::setDraining(std::size_t index)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->servers[index].draining = true;
+    this->recorder.write(this->servers[index].id, "reports draining");
+}
+
 void DatabaseGroup::setSilent(std::size_t index, bool silent)
 {
     const std::scoped_lock lock(this->mutex);
@@ -283,7 +290,7 @@
                                                      {"Zone", this->options.zones[index]},
                                                      {"Version", "v1"},
                                                      {"Slots", this->options.slots},
-                                                     {"State", "ready"},
+                                                     {"State", server.draining ? "draining" : "ready"},
                                                      {"ColdLeftMs", 0},
                                                      {"DbRole", server.primary ? "primary" : "replica"},
                                                      {"Seq", 1},
--- a/review/platform-2/databasegroup.h
+++ b/review/platform-2/databasegroup.h
@@ -55,6 +55,8 @@
     void setDeaf(std::size_t server, bool deaf);
     /// A server that is cut off from the others neither sends them its commits nor learns of a new primary.
     void setCutOff(std::size_t server, bool cutOff);
+    /// The server reports that it will leave, as before a planned shutdown, and serves on.
+    void setDraining(std::size_t server);
     /// Messages between a server and the entry instances are held up.
     void setSilent(std::size_t server, bool silent);
     /// Returns an HTTP status. \a token and \a holder are written to the record.
@@ -89,6 +91,7 @@
         bool primary = false;
         bool deaf = false;
         bool cutOff = false;
+        bool draining = false;
         bool silent = false;
         std::uint64_t term = 1;
         std::uint64_t heldTerm = 0;
--- a/review/platform-2/main.cpp
+++ b/review/platform-2/main.cpp
@@ -12,9 +12,8 @@
 using Case = Review::Verdict (*)(const Review::CaseOptions &, Review::Recorder &);
 
 const std::map<std::string, Case> cases{
-    {"lost-commit", Review::runLostCommit},
-    {"late-transaction", Review::runLateTransaction},
-    {"old-primary", Review::runOldPrimary},
+    {"lost-commit", Review::runLostCommit}, {"late-transaction", Review::runLateTransaction},
+    {"old-primary", Review::runOldPrimary}, {"stale-primary", Review::runStalePrimary},
     {"no-primary", Review::runNoPrimary},
 };
 
