--- a/src/leadership/candidatechoice.cpp
+++ b/src/leadership/candidatechoice.cpp
@@ -15,7 +15,7 @@
     if (best.isStalePrimary)
         return false;
     const LogPosition received = best.status->received;
-    if (conditions.seenByAll && conditions.seen != LogPosition{} && received >= conditions.seen)
+    if (!best.isOutdated && conditions.seenByAll && conditions.seen != LogPosition{} && received >= conditions.seen)
         return true;
     // Of any set of servers that leaves out fewer than the synchronous replicas one holds each acknowledged commit.
     std::size_t answered = 0;
@@ -29,12 +29,51 @@
     return answered + conditions.syncReplicas > candidates.size() + conditions.departed;
 }
 
+bool lacksNewestTerm(const CandidateState &candidate)
+{
+    return candidate.isStalePrimary || candidate.isOutdated;
+}
+
+/// Whether an answer that is missing may lead to a better choice than \a best, without synchronous replicas.
+bool mustWait(std::span<const CandidateState> candidates, const CandidateState &best,
+              const CandidateConditions &conditions)
+{
+    const auto isSilent = [](const CandidateState &candidate) { return !candidate.status && !candidate.isDraining; };
+    const auto anyOf = [&](const auto &condition) {
+        return std::any_of(candidates.begin(), candidates.end(), condition);
+    };
+    if (best.hasTakenOver)
+        return conditions.waited < conditions.statusWait
+               && anyOf([&](const CandidateState &other) { return isSilent(other) && !other.isRefused; });
+    // A choice would give up what others have committed since. Servers that have ended are no longer listed after a
+    // while.
+    if (lacksNewestTerm(best)) {
+        return anyOf([&](const CandidateState &other) {
+            const bool isExpected = !other.isUnreachable && !other.isRefused;
+            return !other.status && (isExpected || conditions.waited < conditions.absentWait);
+        });
+    }
+    if (conditions.waited < conditions.statusWait)
+        return anyOf([&](const CandidateState &other) { return isSilent(other) && !other.isRefused; });
+    if (conditions.waited >= conditions.evidenceWait)
+        return false;
+    const LogPosition received = best.status->received;
+    return anyOf([&](const CandidateState &other) {
+        const bool mayHoldMore = other.applied > received || conditions.seen > received || best.isDraining;
+        return isSilent(other) && !other.isRefused && !other.isUnreachable && mayHoldMore;
+    });
+}
+
 } // namespace
 
 const CandidateState *bestCandidate(std::span<const CandidateState> candidates, bool withDraining)
 {
     const auto rank = [](const CandidateState &candidate) {
-        return std::tuple(candidate.hasTakenOver, !candidate.isStalePrimary, candidate.status->received);
+        // The log with the later last entry wins. Of logs that end in one term, that of the server which follows the
+        // later primary contains nothing that was rolled back.
+        const ReplicationStatus &status = *candidate.status;
+        return std::tuple(candidate.hasTakenOver, !candidate.isStalePrimary, status.received.term, status.term,
+                          status.received.position);
     };
     const CandidateState *best = nullptr;
     for (const CandidateState &candidate : candidates) {
@@ -55,20 +94,28 @@
         best = bestCandidate(candidates, true);
         return best != nullptr && holdsAllCommits(candidates, *best, conditions) ? best : nullptr;
     }
+    // A server that leaves is better than one that lacks what was committed in the newest term.
+    if (best == nullptr || lacksNewestTerm(*best)) {
+        const CandidateState *any = bestCandidate(candidates, true);
+        best = any != nullptr && (best == nullptr || !lacksNewestTerm(*any)) ? any : best;
+    }
     if (best == nullptr)
         return nullptr;
-    const auto isAwaited = [](const CandidateState &candidate) { return !candidate.status && !candidate.isDraining; };
-    if (std::none_of(candidates.begin(), candidates.end(), isAwaited))
-        return best;
-    if (conditions.waited < conditions.statusWait)
-        return nullptr;
-    const LogPosition received = best->status->received;
-    const bool maySaveCommits = std::any_of(candidates.begin(), candidates.end(), [&](const CandidateState &candidate) {
-        const bool mayHoldMore = candidate.applied > received || conditions.seen > received;
-        return isAwaited(candidate) && !candidate.isUnreachable && mayHoldMore;
-    });
-    const bool waits = maySaveCommits && !best->hasTakenOver && conditions.waited < conditions.evidenceWait;
-    return waits ? nullptr : best;
+    return mustWait(candidates, *best, conditions) ? nullptr : best;
+}
+
+const CandidateState *findCaughtUpCandidate(std::span<const CandidateState> candidates,
+                                            const ReplicationStatus &primary)
+{
+    // A log may be longer than the primary's because it was not rolled back yet.
+    const auto hasCaughtUp = [&](const CandidateState &candidate) {
+        if (!candidate.status || candidate.isDraining || candidate.isStalePrimary)
+            return false;
+        const LogPosition received = candidate.status->received;
+        return received == primary.received || (candidate.status->term >= primary.term && received > primary.received);
+    };
+    const auto found = std::find_if(candidates.begin(), candidates.end(), hasCaughtUp);
+    return found == candidates.end() ? nullptr : &*found;
 }
 
 } // namespace Jujubekeel
--- a/src/leadership/candidatechoice.h
+++ b/src/leadership/candidatechoice.h
@@ -18,8 +18,12 @@
     LogPosition applied;                     ///< highest position in any of its answers; it has received at least this
     bool hasTakenOver = false;               ///< promoted by an earlier holder, which did not record it
     bool isStalePrimary = false;             ///< replaced earlier, and has not learned of that
+    /// Follows an earlier term than the newest one that is known: it lacks what was committed since, and may hold commits
+    /// that were rolled back elsewhere.
+    bool isOutdated = false;
     bool isDraining = false;
     bool isUnreachable = false; ///< an answer is not expected soon
+    bool isRefused = false;     ///< the platform could not promote it lately
 };
 
 /// Under which conditions a candidate may be chosen.
@@ -32,17 +36,25 @@
     Duration waited{0};             ///< since the candidates were first asked
     Duration statusWait{0};         ///< without a reason to wait longer, for the answers of all candidates
     Duration evidenceWait{0};       ///< the same if an answer that is expected may save acknowledged commits
+    /// The same for servers that are unreachable, if all that have answered follow an earlier term.
+    Duration absentWait{0};
 };
 
 /// Chooses the server that becomes primary; empty while answers must be awaited.
 ///
-/// Without synchronous replicas the best candidate is chosen after a bounded wait. With them a candidate is chosen only
-/// if it holds all acknowledged commits: it has received the end of the log that the instances have seen, or so many
-/// servers have answered that one of them must hold each acknowledged commit. Otherwise there is no bound, because a
-/// choice would lose commits; a changed configuration takes effect at once.
+/// Without synchronous replicas the best candidate is chosen after a bounded wait. One that follows an earlier term is
+/// chosen only if no other server is expected to answer. With synchronous replicas a candidate is chosen only if it
+/// holds all acknowledged commits: it has received the end of the log that the instances have seen, or so many servers
+/// have answered that one of them must hold each acknowledged commit. Otherwise there is no bound, because a choice
+/// would lose commits; a changed configuration takes effect at once.
 [[nodiscard]] const CandidateState *chooseCandidate(std::span<const CandidateState> candidates,
                                                     const CandidateConditions &conditions);
 
+/// A candidate that has received the whole log of a primary which still answers and is to be replaced; null if there is
+/// none. Servers that leave are no candidates.
+[[nodiscard]] const CandidateState *findCaughtUpCandidate(std::span<const CandidateState> candidates,
+                                                          const ReplicationStatus &primary);
+
 /// The best of the candidates that have answered; null if there is none. Draining ones only if \a withDraining is set.
 [[nodiscard]] const CandidateState *bestCandidate(std::span<const CandidateState> candidates, bool withDraining);
 
--- a/src/leadership/leadershipoptions.h
+++ b/src/leadership/leadershipoptions.h
@@ -30,10 +30,15 @@
     Duration statusWait = std::chrono::milliseconds(350); ///< time for the candidates to report their log positions
     /// Time for a candidate that has not answered, if others lack commits that it may hold.
     Duration evidenceWait = std::chrono::milliseconds(1500);
+    /// Time for servers that are unreachable, if all that have answered follow an earlier term than the old primary. The
+    /// platform no longer lists a server that has ended after three check-in intervals.
+    Duration absentWait = std::chrono::milliseconds(4000);
     Duration statusRefresh = std::chrono::milliseconds(200); ///< age after which a candidate is asked again
     Duration waitLogInterval = std::chrono::seconds(5);      ///< between two log lines about awaited candidates
-    /// Time for a candidate to catch up with an old primary that still answers.
+    /// Time for a candidate to catch up with an old primary that still answers. Without one the replacement is abandoned.
     Duration catchUpWait = std::chrono::milliseconds(1500);
+    /// From an abandoned planned replacement to the next attempt, in which the primary serves.
+    Duration plannedRetryDelay = std::chrono::milliseconds(2000);
     Duration stepInterval = std::chrono::milliseconds(25);    ///< time between two checks of a replacement in progress
     Duration callRetryDelay = std::chrono::milliseconds(200); ///< before an unanswered call is repeated
     /// Time in which a candidate must report that it is primary after the platform accepted its promotion.
--- a/src/leadership/leadershiprecord.cpp
+++ b/src/leadership/leadershiprecord.cpp
@@ -20,7 +20,8 @@
 {
     return nlohmann::json{{"epoch", this->epoch},         {"term", this->term},         {"primary", this->primary},
                           {"changing", this->changing},   {"planned", this->planned},   {"holder", this->holder},
-                          {"candidate", this->candidate}, {"declared", this->declared}, {"termAbove", this->termAbove}}
+                          {"candidate", this->candidate}, {"declared", this->declared}, {"termAbove", this->termAbove},
+                          {"abandoned", this->abandoned}}
         .dump();
 }
 
@@ -41,6 +42,7 @@
                                 // Earlier versions do not write it; there each candidate may be in use.
                                 .declared = root.value("declared", !candidate.empty()),
                                 .termAbove = root.at("termAbove").get<std::uint64_t>(),
+                                .abandoned = root.value("abandoned", false),
                                 .holder = root.at("holder").get<std::string>()};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
--- a/src/leadership/leadershiprecord.h
+++ b/src/leadership/leadershiprecord.h
@@ -21,7 +21,9 @@
     /// primary, so it stays the only one until another replacement is announced.
     bool declared = false;
     std::uint64_t termAbove = 0; ///< the candidate has taken over once it is primary of a term above this one
-    std::string holder;          ///< instance that is replacing or last replaced the primary
+    /// Not changing: the last replacement was planned and has been abandoned, because no candidate had caught up.
+    bool abandoned = false;
+    std::string holder; ///< instance that is replacing or last replaced the primary
 
     /// True if this record is a later state of the service's leadership than \a other. Both must belong to one history of
     /// the store, in which a record passes from announced to declared to finished within an epoch.
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -368,6 +368,13 @@
     return this->options.rankDelay * this->rank(service);
 }
 
+bool LeadershipSystem::isPausedAfterAbandonment(const ServiceRow &service) const
+{
+    const FleetView::Record *known = this->registration.fleet().record(service.name);
+    return known != nullptr && known->record.abandoned
+           && this->world.now - known->seenAt < this->options.plannedRetryDelay + this->rankedDelay(service.name);
+}
+
 bool LeadershipSystem::shouldReplace(ServiceId id, bool &planned) const
 {
     const ServiceRow &service = this->world.services.at(id);
@@ -383,7 +390,8 @@
                && this->world.now - known->seenAt >= this->options.takeOverAfter + this->rankedDelay(service.name);
     }
     const auto draining = this->drainingSince.find(service.name);
-    if (draining != this->drainingSince.end() && this->world.now - draining->second >= this->rankedDelay(service.name))
+    if (draining != this->drainingSince.end() && !this->isPausedAfterAbandonment(service)
+        && this->world.now - draining->second >= this->rankedDelay(service.name))
         return true;
 
     // The primary is replaced if more instances find it unreachable than reachable.
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -67,6 +67,8 @@
     [[nodiscard]] bool isUnreachable(const ServiceRow &service) const;
     /// True if the servers report that another one has become primary, and the store may have lost the record of it.
     [[nodiscard]] bool isContradicted(const ServiceRow &service) const;
+    /// True if a planned replacement was abandoned lately, and the primary serves for a while before the next attempt.
+    [[nodiscard]] bool isPausedAfterAbandonment(const ServiceRow &service) const;
     /// Number of registered instances that act before this one.
     [[nodiscard]] std::uint32_t rank(const std::string &service) const;
     /// Delay of this instance according to its rank.
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -12,8 +12,11 @@
 
 namespace {
 
+/// A status request that is not answered within this time is sent again on another connection. The answer of a busy
+/// server may take longer, as the request takes a slot.
+constexpr Duration statusRepeat = std::chrono::milliseconds(400);
 /// Timeout of a status request.
-constexpr Duration statusTimeout = std::chrono::milliseconds(400);
+constexpr Duration statusTimeout = std::chrono::milliseconds(2000);
 
 /// Bits of a fencing token that hold the revision.
 constexpr unsigned revisionBits = 40;
@@ -83,7 +86,7 @@
                      {"candidate", known.record.candidate},
                      {"declared", known.record.declared ? "true" : "false"}});
     this->replacements.emplace(id, std::move(replacement));
-    this->world.timers.add(this->world.now + this->options.stepInterval, TimerKind::Replacement);
+    this->scheduleAdvance(this->options.stepInterval);
 }
 
 void ReplacementSystem::begin(ServiceId id, bool planned)
@@ -113,7 +116,7 @@
     this->world.counters.add("jujubekeel_pool_replacements_total");
     Replacement &row = this->replacements.emplace(id, std::move(replacement)).first->second;
     this->writeRecord(id, row, row.record);
-    this->world.timers.add(this->world.now + this->options.stepInterval, TimerKind::Replacement);
+    this->scheduleAdvance(this->options.stepInterval);
 }
 
 void ReplacementSystem::writeRecord(ServiceId id, Replacement &replacement, const LeadershipRecord &record)
@@ -135,6 +138,15 @@
     replacement.waitLoggedAt = TimePoint{0};
 }
 
+void ReplacementSystem::scheduleAdvance(Duration delay)
+{
+    const TimePoint due = this->world.now + delay;
+    if (this->advanceAt > this->world.now && this->advanceAt <= due)
+        return;
+    this->advanceAt = due;
+    this->world.timers.add(due, TimerKind::Replacement);
+}
+
 void ReplacementSystem::eraChanged()
 {
     // A replacement whose record this instance still knows is resumed under the revisions of the new era.
@@ -167,6 +179,8 @@
         } else if (succeeded && replacement.step == Step::Declare) {
             replacement.expectedRevision = outcome.revision;
             this->enter(replacement, Step::Promote);
+        } else if (succeeded && replacement.step == Step::Abandon) {
+            this->replacements.erase(id);
         } else if (succeeded) {
             this->world.log(LogLevel::Info, "replacement-finished",
                             {{"service", this->world.services.at(id).name},
@@ -213,7 +227,7 @@
             this->replacements.erase(id);
     }
     if (!this->replacements.empty())
-        this->world.timers.add(this->world.now + this->options.stepInterval, TimerKind::Replacement);
+        this->scheduleAdvance(this->options.stepInterval);
 }
 
 bool ReplacementSystem::isSuperseded(const ServiceRow &service, const Replacement &replacement) const
@@ -240,6 +254,9 @@
         // A candidate that was declared before this instance resumed the replacement may be in use already.
         this->enter(replacement, replacement.record.declared ? Step::Promote : Step::Choose);
         return true;
+    case Step::Abandon:
+        this->writeAbandonment(id, replacement);
+        return true;
     case Step::Choose:
         if (this->choose(id, replacement)) {
             this->enter(replacement, Step::Declare);
@@ -354,7 +371,7 @@
     if (found == this->world.serverById.end())
         return;
     const auto requested = replacement.statusRequestedAt.find(server);
-    if (requested != replacement.statusRequestedAt.end() && this->world.now - requested->second < statusTimeout)
+    if (requested != replacement.statusRequestedAt.end() && this->world.now - requested->second < statusRepeat)
         return;
     const LinkId link = this->links.findFree(found->second, SessionId{});
     ServerRow &row = this->world.servers.at(found->second);
@@ -380,6 +397,7 @@
         return;
     found->second.statuses[row.entry.id] = *status;
     found->second.statusReceivedAt[row.entry.id] = this->world.now;
+    this->scheduleAdvance(Duration{0});
 }
 
 bool ReplacementSystem::choose(ServiceId id, Replacement &replacement)
@@ -394,11 +412,18 @@
         return false;
     }
     this->requestStatuses(service, replacement, candidates);
-    const CandidateState *best = chooseCandidate(candidates, conditions);
-    if (best == nullptr)
-        this->logWait(service, replacement, candidates, conditions);
-    if (best == nullptr || !this->hasCaughtUp(service, replacement, best->id))
+    const bool isCatchUpOver = conditions.waited >= this->options.catchUpWait;
+    const bool canAbandon = this->canAbandon(replacement);
+    const bool needsWholeLog = this->oldPrimaryAnswers(service, replacement) && (canAbandon || !isCatchUpOver);
+    const CandidateState *best =
+        needsWholeLog ? this->chooseCaughtUp(replacement, candidates) : chooseCandidate(candidates, conditions);
+    if (best == nullptr) {
+        if (needsWholeLog && isCatchUpOver)
+            this->abandon(id, replacement, candidates);
+        else
+            this->logWait(service, replacement, candidates, conditions);
         return false;
+    }
 
     if (best->hasTakenOver) {
         replacement.record.termAbove = best->status->term - 1;
@@ -428,29 +453,38 @@
 std::vector<CandidateState> ReplacementSystem::collectCandidates(const ServiceRow &service,
                                                                  const Replacement &replacement) const
 {
-    const bool synchronous = this->world.syncReplicas(service.name) > 0;
+    const std::uint64_t term = this->newestTerm(replacement);
     std::vector<CandidateState> candidates;
     for (const ServerId server : service.servers) {
         const ServerRow &row = this->world.servers.at(server);
         const std::string &name = row.entry.id;
-        const bool isUseful = !row.entry.draining || synchronous;
-        if (name == replacement.record.primary || replacement.refused.contains(name) || !isUseful)
+        if (name == replacement.record.primary)
             continue;
         CandidateState candidate{.id = name,
                                  .applied = row.applied,
                                  .isDraining = row.entry.draining,
-                                 .isUnreachable = row.unreachableSince.count() != 0 || row.missingSince.count() != 0};
+                                 .isUnreachable = row.unreachableSince.count() != 0 || row.missingSince.count() != 0,
+                                 .isRefused = replacement.refused.contains(name)};
         const auto status = replacement.statuses.find(name);
-        if (status != replacement.statuses.end()) {
+        if (status != replacement.statuses.end() && !candidate.isRefused) {
             candidate.status = status->second;
             candidate.hasTakenOver = this->hasTakenOver(replacement, name);
             candidate.isStalePrimary = this->isStalePrimary(replacement, name);
+            candidate.isOutdated = !candidate.hasTakenOver && status->second.term < term;
         }
         candidates.push_back(std::move(candidate));
     }
     return candidates;
 }
 
+std::uint64_t ReplacementSystem::newestTerm(const Replacement &replacement) const
+{
+    std::uint64_t term = replacement.record.term;
+    for (const auto &[server, status] : replacement.statuses)
+        term = std::max(term, status.term);
+    return term;
+}
+
 CandidateConditions ReplacementSystem::conditions(const ServiceRow &service, const Replacement &replacement) const
 {
     CandidateConditions conditions{.syncReplicas = this->world.syncReplicas(service.name),
@@ -458,7 +492,8 @@
                                    .seenByAll = true,
                                    .waited = this->world.now - replacement.stepAt,
                                    .statusWait = this->options.statusWait,
-                                   .evidenceWait = this->options.evidenceWait};
+                                   .evidenceWait = this->options.evidenceWait,
+                                   .absentWait = this->options.absentWait};
     for (const auto &[instance, member] : this->registration.fleet().members()) {
         if (instance == this->world.options.instance)
             continue;
@@ -472,43 +507,75 @@
         std::count_if(service.departed.begin(), service.departed.end(), [&](const auto &entry) {
             return entry.first != replacement.record.primary && entry.second >= service.committedAt;
         }));
-    conditions.departed += static_cast<std::uint32_t>(replacement.refused.size());
     return conditions;
 }
 
 bool ReplacementSystem::oldPrimaryAnswers(const ServiceRow &service, const Replacement &replacement) const
 {
     const ServerRow *oldRow = this->world.servers.find(service.primary);
-    return replacement.record.planned && oldRow != nullptr && oldRow->unreachableSince.count() == 0;
+    if (!replacement.record.planned || oldRow == nullptr || service.primaryId != replacement.record.primary)
+        return false;
+    if (oldRow->unreachableSince.count() != 0 || oldRow->silence(this->world.now) >= this->options.silenceLimit)
+        return false;
+    const auto status = replacement.statuses.find(replacement.record.primary);
+    return status == replacement.statuses.end()
+           || (status->second.isPrimary && status->second.term >= this->newestTerm(replacement));
 }
 
-bool ReplacementSystem::hasCaughtUp(const ServiceRow &service, Replacement &replacement, const std::string &candidate)
+const CandidateState *ReplacementSystem::chooseCaughtUp(const Replacement &replacement,
+                                                        std::span<const CandidateState> candidates) const
 {
-    const std::string &old = replacement.record.primary;
-    const Duration waited = this->world.now - replacement.stepAt;
-    if (!this->oldPrimaryAnswers(service, replacement) || waited >= this->options.catchUpWait)
-        return true;
-    const auto source = replacement.statuses.find(old);
-    if (source == replacement.statuses.end())
-        return false;
-    if (replacement.statuses.at(candidate).received >= source->second.received)
-        return true;
-    std::erase_if(replacement.statuses, [&](const auto &entry) { return entry.first != old; });
-    return false;
+    const auto source = replacement.statuses.find(replacement.record.primary);
+    return source == replacement.statuses.end() ? nullptr : findCaughtUpCandidate(candidates, source->second);
+}
+
+bool ReplacementSystem::canAbandon(const Replacement &replacement) const
+{
+    // The candidate of an earlier epoch may have been promoted.
+    return !replacement.record.declared && replacement.record.candidate.empty();
+}
+
+void ReplacementSystem::abandon(ServiceId id, Replacement &replacement, std::span<const CandidateState> candidates)
+{
+    const CandidateState *best = bestCandidate(candidates, true);
+    const auto source = replacement.statuses.find(replacement.record.primary);
+    const auto describe = [](const ReplicationStatus &status) {
+        return std::to_string(status.received.term) + '.' + std::to_string(status.received.position);
+    };
+    this->world.log(LogLevel::Error, "replacement-abandoned",
+                    {{"service", this->world.services.at(id).name},
+                     {"primary", replacement.record.primary},
+                     {"epoch", std::to_string(replacement.record.epoch)},
+                     {"primaryReceived", source == replacement.statuses.end() ? "" : describe(source->second)},
+                     {"best", best == nullptr ? "" : best->id},
+                     {"bestReceived", best == nullptr ? "" : describe(*best->status)}});
+    this->world.counters.add("jujubekeel_pool_replacements_abandoned_total");
+    this->enter(replacement, Step::Abandon);
+    this->writeAbandonment(id, replacement);
+}
+
+void ReplacementSystem::writeAbandonment(ServiceId id, Replacement &replacement)
+{
+    LeadershipRecord record = replacement.record;
+    record.changing = false;
+    record.planned = false;
+    record.abandoned = true;
+    this->writeRecord(id, replacement, record);
 }
 
 void ReplacementSystem::requestStatuses(const ServiceRow &service, Replacement &replacement,
                                         std::span<const CandidateState> candidates)
 {
     const std::string &old = replacement.record.primary;
-    if (this->oldPrimaryAnswers(service, replacement) && !replacement.statuses.contains(old))
+    const bool isPlanned = this->oldPrimaryAnswers(service, replacement);
+    if (isPlanned && !replacement.statuses.contains(old))
         this->requestStatus(replacement, old);
+    // A candidate may have received more, or be primary, since it answered.
+    const Duration refresh = isPlanned ? this->options.stepInterval : this->options.statusRefresh;
     for (const CandidateState &candidate : candidates) {
-        // A candidate may have received more, or be primary, since it answered.
         const bool isCurrent =
-            candidate.status
-            && this->world.now - replacement.statusReceivedAt[candidate.id] < this->options.statusRefresh;
-        if (!isCurrent)
+            candidate.status && this->world.now - replacement.statusReceivedAt[candidate.id] < refresh;
+        if (!isCurrent && !candidate.isRefused)
             this->requestStatus(replacement, candidate.id);
     }
 }
@@ -580,6 +647,7 @@
     record.termAbove = 0;
     record.changing = false;
     record.planned = false;
+    record.abandoned = false;
     this->writeRecord(id, replacement, record);
 }
 
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -58,6 +58,7 @@
         Promote,        ///< have the platform promote the candidate
         AwaitPromotion, ///< wait until the candidate reports that it is primary
         Record,         ///< write the new primary to the record
+        Abandon,        ///< write to the record that the old primary, which still answers, goes on
     };
     struct Replacement
     {
@@ -80,6 +81,8 @@
     void begin(ServiceId service, bool planned);
     void resume(ServiceId service);
     void enter(Replacement &replacement, Step step);
+    /// Has the replacements advanced after \a delay, unless that happens earlier.
+    void scheduleAdvance(Duration delay);
     /// The candidate could not take over: announces the replacement under a new epoch, to choose another one.
     void announceAgain(ServiceId service, Replacement &replacement);
     /// Returns false if the replacement has ended.
@@ -94,6 +97,8 @@
     /// Returns true once a candidate has been chosen.
     bool choose(ServiceId service, Replacement &replacement);
     [[nodiscard]] bool isStalePrimary(const Replacement &replacement, const std::string &server) const;
+    /// Newest replication term that the record or an answer tells.
+    [[nodiscard]] std::uint64_t newestTerm(const Replacement &replacement) const;
     [[nodiscard]] bool hasTakenOver(const Replacement &replacement, const std::string &server) const;
     /// What is known of the servers that may become primary or hold commits that others lack.
     [[nodiscard]] std::vector<CandidateState> collectCandidates(const ServiceRow &service,
@@ -101,8 +106,16 @@
     [[nodiscard]] CandidateConditions conditions(const ServiceRow &service, const Replacement &replacement) const;
     /// The old primary is to be replaced as planned, and still answers.
     [[nodiscard]] bool oldPrimaryAnswers(const ServiceRow &service, const Replacement &replacement) const;
-    /// False if the old primary still answers and the candidate may yet receive what it has acknowledged.
-    [[nodiscard]] bool hasCaughtUp(const ServiceRow &service, Replacement &replacement, const std::string &candidate);
+    /// Chooses a candidate that has received the whole log of an old primary which still answers; null while there is
+    /// none.
+    [[nodiscard]] const CandidateState *chooseCaughtUp(const Replacement &replacement,
+                                                       std::span<const CandidateState> candidates) const;
+    /// True if the old primary can go on, because nothing was promoted or declared instead of it.
+    [[nodiscard]] bool canAbandon(const Replacement &replacement) const;
+    /// Lets the old primary go on, which still answers and holds more than any candidate.
+    void abandon(ServiceId service, Replacement &replacement, std::span<const CandidateState> candidates);
+    /// Writes the abandoned replacement to the record.
+    void writeAbandonment(ServiceId service, Replacement &replacement);
     /// Asks for the log positions that a choice needs, again after LeadershipOptions::statusRefresh.
     void requestStatuses(const ServiceRow &service, Replacement &replacement,
                          std::span<const CandidateState> candidates);
@@ -120,6 +133,7 @@
     LeadershipOptions options;
     std::map<ServiceId, Replacement> replacements;
     std::set<std::uint64_t> evictionCalls; ///< writes in progress that evict members
+    TimePoint advanceAt{0};                ///< time of the timer that advances the replacements; past: there is none
 };
 
 } // namespace Jujubekeel
--- a/tests/leadership/candidatechoicetest.cpp
+++ b/tests/leadership/candidatechoicetest.cpp
@@ -33,7 +33,8 @@
     return CandidateConditions{.syncReplicas = syncReplicas,
                                .waited = waited,
                                .statusWait = milliseconds(350),
-                               .evidenceWait = milliseconds(1500)};
+                               .evidenceWait = milliseconds(1500),
+                               .absentWait = milliseconds(4000)};
 }
 
 std::string chosen(const std::vector<CandidateState> &candidates, const CandidateConditions &given)
@@ -95,6 +96,69 @@
     EXPECT_EQ(chosen({stale}, conditions(1, milliseconds(0))), "");
 }
 
+// Guards against a former primary being promoted again because it answers first: another server that is reachable may
+// hold what was committed since (review case 8).
+TEST(CandidateChoice, ServerOfAnEarlierTermIsChosenOnlyIfNoOtherMayAnswer)
+{
+    CandidateState former = answered("f", 50);
+    former.isStalePrimary = true;
+    CandidateState behind = answered("b", 50);
+    behind.isOutdated = true;
+    behind.status->term = 2;
+    behind.status->received.term = 2;
+    CandidateState other = silent("c");
+    for (const CandidateState &candidate : {former, behind}) {
+        EXPECT_EQ(chosen({candidate, other}, conditions(0, std::chrono::hours(1))), "");
+        other.isUnreachable = true;
+        EXPECT_EQ(chosen({candidate, other}, conditions(0, milliseconds(3999))), "");
+        EXPECT_EQ(chosen({candidate, other}, conditions(0, milliseconds(4000))), candidate.id);
+        other = silent("c");
+        other.isRefused = true;
+        EXPECT_EQ(chosen({candidate, other}, conditions(0, milliseconds(3999))), "");
+        other = silent("c");
+        other.isDraining = true;
+        EXPECT_EQ(chosen({candidate, other}, conditions(0, std::chrono::hours(1))), "");
+        other.status = ReplicationStatus{.term = 3, .received = at(5)};
+        EXPECT_EQ(chosen({candidate, other}, conditions(0, milliseconds(0))), "c");
+        other = silent("c");
+    }
+}
+
+// Guards against commits that were rolled back being preferred because the log that still has them is longer.
+TEST(CandidateChoice, LongerLogOfAnEarlierTermIsNotPreferred)
+{
+    CandidateState longer = answered("l", 12);
+    longer.status->term = 2;
+    longer.isOutdated = true;
+    EXPECT_EQ(chosen({longer, answered("a", 9)}, conditions(0, milliseconds(0))), "a");
+    CandidateState later = answered("n", 9);
+    later.status->received.term = 4;
+    EXPECT_EQ(chosen({longer, later}, conditions(0, milliseconds(0))), "n");
+}
+
+// Guards against a planned replacement by a server that lacks what the primary has acknowledged, or has what was rolled
+// back.
+TEST(CandidateChoice, OnlyTheWholeLogHasCaughtUp)
+{
+    const ReplicationStatus primary{.isPrimary = true, .term = 3, .received = at(9)};
+    const auto hasCaughtUp = [&](const CandidateState &candidate) {
+        return findCaughtUpCandidate(std::vector{candidate}, primary) != nullptr;
+    };
+    EXPECT_TRUE(hasCaughtUp(answered("a", 9)));
+    EXPECT_TRUE(hasCaughtUp(answered("a", 10)));
+    EXPECT_FALSE(hasCaughtUp(answered("a", 8)));
+    EXPECT_FALSE(hasCaughtUp(silent("a")));
+    CandidateState earlier = answered("a", 10);
+    earlier.status->term = 2;
+    EXPECT_FALSE(hasCaughtUp(earlier));
+    CandidateState draining = answered("a", 9);
+    draining.isDraining = true;
+    EXPECT_FALSE(hasCaughtUp(draining));
+    CandidateState stale = answered("a", 9);
+    stale.isStalePrimary = true;
+    EXPECT_FALSE(hasCaughtUp(stale));
+}
+
 // Guards against losing a commit that a synchronous replica has received, whichever servers have answered.
 TEST(CandidateChoice, ChosenCandidateHoldsEveryAcknowledgedCommit)
 {
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -1,6 +1,7 @@
 #include "pool/poolsupport.h"
 #include "virtualpool/poolfaults.h"
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -361,6 +362,107 @@
     EXPECT_EQ(run.finish(), "");
 }
 
+/// A former primary that has not learned of its replacement: it does not reach the other servers.
+struct FormerPrimary
+{
+    explicit FormerPrimary(std::uint64_t seed)
+        : run(
+            seed,
+            [] {
+                VirtualPoolOptions options = synchronousOptions();
+                options.group.syncReplicas = 0;
+                return options;
+            }(),
+            30)
+    {
+        VirtualPool &pool = this->run.pool;
+        pool.run(seconds(1));
+        pool.group().setReplicationIsolated(0, true);
+        pool.run(milliseconds(300));
+        for (std::size_t instance = 0; instance < pool.instanceCount(); ++instance)
+            pool.isolateInstanceFromServer(instance, 0, true);
+        for (int step = 0; step < 4000 && this->run.firstPromoted() == 0; ++step)
+            pool.run(milliseconds(1));
+        for (std::size_t instance = 0; instance < pool.instanceCount(); ++instance)
+            pool.isolateInstanceFromServer(instance, 0, false);
+        this->successor = this->run.firstPromoted();
+        this->replica = 3 - this->successor;
+        pool.run(seconds(2));
+    }
+    [[nodiscard]] bool isPromotedAgain()
+    {
+        const auto &promotions = this->run.pool.group().history().promotions;
+        return std::any_of(promotions.begin() + 1, promotions.end(),
+                           [](const auto &promotion) { return promotion.server == 0; });
+    }
+
+    LoadedGroup run;
+    std::size_t successor = 0;
+    std::size_t replica = 0;
+};
+
+// Guards against a planned replacement by a former primary, which lacks all that its successor has acknowledged, because
+// the replica does not answer in time (review case 8).
+TEST(Replacement, FormerPrimaryDoesNotReplaceASuccessorThatAnswers)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        FormerPrimary former(seed);
+        ASSERT_NE(former.successor, 0U);
+        VirtualPool &pool = former.run.pool;
+        pool.group().setReplicationIsolated(former.replica, true);
+        pool.group().setBusyStatuses(former.replica, 20);
+        pool.run(milliseconds(300));
+        pool.setDraining(former.successor);
+        pool.run(seconds(3));
+        EXPECT_EQ(pool.promotions(), 1U) << "no server holds what the primary has acknowledged";
+        EXPECT_GE(pool.countLogs("replacement-abandoned"), 1U);
+        pool.group().setBusyStatuses(former.replica, 0);
+        pool.group().setReplicationIsolated(former.replica, false);
+        EXPECT_EQ(former.run.finish(), "");
+        EXPECT_FALSE(former.isPromotedAgain());
+        EXPECT_TRUE(pool.group().isPrimary(former.replica)) << "the next attempt succeeds";
+    }
+}
+
+// The same where the successor crashes: the only server that holds its commits is busy for longer than the usual waits.
+TEST(Replacement, FormerPrimaryDoesNotReplaceASuccessorThatCrashes)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        FormerPrimary former(seed);
+        ASSERT_NE(former.successor, 0U);
+        VirtualPool &pool = former.run.pool;
+        pool.group().setBusyStatuses(former.replica, 1000);
+        pool.at(seconds(4), [&] { pool.group().setBusyStatuses(former.replica, 0); });
+        pool.stopServer(former.successor);
+        EXPECT_EQ(former.run.finish(), "");
+        EXPECT_FALSE(former.isPromotedAgain());
+        EXPECT_TRUE(pool.group().isPrimary(former.replica));
+    }
+}
+
+// Guards against an abandoned replacement that keeps callers from the primary for longer than the attempt takes.
+TEST(Replacement, PrimaryServesBetweenTwoPlannedAttempts)
+{
+    LoadedPool run;
+    run.pool.run(seconds(1));
+    run.pool.group().setReplicationIsolated(1, true);
+    run.pool.group().setReplicationIsolated(2, true);
+    run.pool.run(milliseconds(300));
+    const TimePoint start = run.pool.now();
+    run.pool.setDraining(0);
+    run.pool.run(seconds(6));
+    EXPECT_EQ(run.pool.promotions(), 0U);
+    EXPECT_GE(run.pool.countLogs("replacement-abandoned"), 2U);
+    EXPECT_LE(run.workload.longestWriteGap(start, run.pool.now()), milliseconds(2700))
+        << "running work, 1 s; a candidate that catches up, 1.5 s";
+    run.pool.group().setReplicationIsolated(1, false);
+    run.pool.group().setReplicationIsolated(2, false);
+    run.finish();
+    EXPECT_EQ(run.pool.promotions(), 1U);
+}
+
 class SynchronousFaults : public testing::TestWithParam<std::uint64_t>
 {
 };
