--- a/src/leadership/leadershiprecord.cpp
+++ b/src/leadership/leadershiprecord.cpp
@@ -18,10 +18,17 @@
 
 std::string LeadershipRecord::toText() const
 {
-    return nlohmann::json{{"epoch", this->epoch},         {"term", this->term},         {"primary", this->primary},
-                          {"changing", this->changing},   {"planned", this->planned},   {"holder", this->holder},
-                          {"candidate", this->candidate}, {"declared", this->declared}, {"termAbove", this->termAbove},
-                          {"abandoned", this->abandoned}}
+    return nlohmann::json{{"epoch", this->epoch},
+                          {"term", this->term},
+                          {"primary", this->primary},
+                          {"changing", this->changing},
+                          {"planned", this->planned},
+                          {"holder", this->holder},
+                          {"candidate", this->candidate},
+                          {"declared", this->declared},
+                          {"termAbove", this->termAbove},
+                          {"abandoned", this->abandoned},
+                          {"era", this->era}}
         .dump();
 }
 
@@ -34,6 +41,7 @@
         const nlohmann::json &root = *parsed;
         const auto candidate = root.at("candidate").get<std::string>();
         return LeadershipRecord{.epoch = root.at("epoch").get<std::uint64_t>(),
+                                .era = root.value("era", std::uint64_t{0}),
                                 .term = root.at("term").get<std::uint64_t>(),
                                 .primary = root.at("primary").get<std::string>(),
                                 .changing = root.at("changing").get<bool>(),
--- a/src/leadership/leadershiprecord.h
+++ b/src/leadership/leadershiprecord.h
@@ -11,12 +11,15 @@
 /// writes, so that only one instance at a time replaces a primary.
 struct LeadershipRecord
 {
-    std::uint64_t epoch = 0; ///< increases with each replacement
-    std::uint64_t term = 0;  ///< replication term of the last promoted primary; 0: none was promoted yet
-    std::string primary;     ///< id of the primary; while changing, of the one being replaced
-    bool changing = false;   ///< a replacement is in progress: no instance sends new work to the primary
-    bool planned = false;    ///< while changing: the primary still answers; running work may finish
-    std::string candidate;   ///< while changing: server that this or an earlier holder promotes
+    /// Increases with each replacement. The first one that an instance without knowledge of earlier eras writes has the era
+    /// in the upper half, so that it is above any epoch that the store may have lost.
+    std::uint64_t epoch = 0;
+    std::uint64_t era = 0;  ///< of the store in which it was written or confirmed last; 0: not known
+    std::uint64_t term = 0; ///< replication term of the last promoted primary; 0: none was promoted yet
+    std::string primary;    ///< id of the primary; while changing, of the one being replaced
+    bool changing = false;  ///< a replacement is in progress: no instance sends new work to the primary
+    bool planned = false;   ///< while changing: the primary still answers; running work may finish
+    std::string candidate;  ///< while changing: server that this or an earlier holder promotes
     /// While changing: the candidate was declared in this epoch. Instances use it as soon as it reports that it is
     /// primary, so it stays the only one until another replacement is announced.
     bool declared = false;
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -52,9 +52,12 @@
     // Epochs decrease only if this instance learned of a restored store after its recovery.
     if (service.epoch > (known == nullptr ? 0 : known->record.epoch))
         this->discardLeadership(id);
-    if (known != nullptr)
+    // What the store may have lost is not known from what it still shows: a server that was replaced may not have heard of
+    // that, and its entry and an earlier record may name it.
+    const bool isKnown = this->registration.isLeadershipKnown(service.name);
+    if (isKnown && known != nullptr)
         this->adoptRecord(id, *known);
-    else
+    else if (isKnown)
         this->adoptReportedPrimary(id);
     if (service.changing && service.released)
         this->adoptCandidate(id);
@@ -66,8 +69,7 @@
         service.missingSince = TimePoint{0};
     else if (service.missingSince.count() == 0)
         service.missingSince = this->world.now;
-    if (!service.changing && this->registration.verifiedAt() > service.leadershipVerifiedAt
-        && !this->isContradicted(service)) {
+    if (isKnown && !service.changing && this->registration.verifiedAt() > service.leadershipVerifiedAt) {
         service.leadershipVerifiedAt = this->registration.verifiedAt();
         this->results.reviewWithheld(id);
     }
@@ -252,22 +254,8 @@
     this->registration.publish();
 }
 
-bool LeadershipSystem::isContradicted(const ServiceRow &service) const
-{
-    // Otherwise an entry is just older than the record.
-    if (!this->registration.mayLackEarlierEra())
-        return false;
-    const ServerRow *primary = this->world.servers.find(service.primary);
-    if (primary == nullptr || primary->entry.claimsPrimary)
-        return false;
-    return std::any_of(service.servers.begin(), service.servers.end(),
-                       [&](ServerId server) { return this->world.servers.at(server).entry.claimsPrimary; });
-}
-
 bool LeadershipSystem::isUnreachable(const ServiceRow &service) const
 {
-    if (this->isContradicted(service))
-        return true;
     const ServerRow *primary = this->world.servers.find(service.primary);
     const TimePoint now = this->world.now;
     if (primary == nullptr)
@@ -291,6 +279,10 @@
 void LeadershipSystem::checkView(ServiceId id)
 {
     const ServiceRow &service = this->world.services.at(id);
+    if (this->registration.isLeadershipKnown(service.name) || service.servers.empty())
+        this->unknownSince.erase(service.name);
+    else if (!this->registration.isRecovering())
+        this->unknownSince.try_emplace(service.name, this->world.now);
     if (service.primaryId.empty() || service.changing) {
         this->suspicions.erase(service.name);
         this->registration.setView(service.name, std::nullopt);
@@ -368,6 +360,15 @@
     return this->options.rankDelay * this->rank(service);
 }
 
+bool LeadershipSystem::shouldFindPrimary(ServiceId id) const
+{
+    const ServiceRow &service = this->world.services.at(id);
+    const auto unknown = this->unknownSince.find(service.name);
+    return unknown != this->unknownSince.end() && this->registration.isRegistered() && !this->world.stopping
+           && this->registration.isFleetViewCurrent()
+           && this->world.now - unknown->second >= this->rankedDelay(service.name);
+}
+
 bool LeadershipSystem::isPausedAfterAbandonment(const ServiceRow &service) const
 {
     const FleetView::Record *known = this->registration.fleet().record(service.name);
@@ -379,7 +380,7 @@
 {
     const ServiceRow &service = this->world.services.at(id);
     planned = !this->isUnreachable(service);
-    if (!this->registration.isRegistered() || this->world.stopping || service.primaryId.empty())
+    if (!this->registration.isRegistered() || this->world.stopping)
         return false;
     // Without the store a replacement cannot be announced, and the fleet view may be out of date.
     if (!this->registration.isFleetViewCurrent())
@@ -389,6 +390,8 @@
         return known != nullptr && known->record.changing
                && this->world.now - known->seenAt >= this->options.takeOverAfter + this->rankedDelay(service.name);
     }
+    if (service.primaryId.empty())
+        return false;
     const auto draining = this->drainingSince.find(service.name);
     if (draining != this->drainingSince.end() && !this->isPausedAfterAbandonment(service)
         && this->world.now - draining->second >= this->rankedDelay(service.name))
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -40,6 +40,9 @@
     /// True if the primary must be replaced now and it is this instance's turn by rank. \a planned is set if the
     /// primary still answers.
     [[nodiscard]] bool shouldReplace(ServiceId service, bool &planned) const;
+    /// True if the primary must be found by asking the servers, because the store may have lost the record of it, and it
+    /// is this instance's turn by rank.
+    [[nodiscard]] bool shouldFindPrimary(ServiceId service) const;
 
 private:
     /// A primary that at least one instance finds unreachable.
@@ -65,8 +68,6 @@
     void checkView(ServiceId service);
     void scheduleCheck();
     [[nodiscard]] bool isUnreachable(const ServiceRow &service) const;
-    /// True if the servers report that another one has become primary, and the store may have lost the record of it.
-    [[nodiscard]] bool isContradicted(const ServiceRow &service) const;
     /// True if a planned replacement was abandoned lately, and the primary serves for a while before the next attempt.
     [[nodiscard]] bool isPausedAfterAbandonment(const ServiceRow &service) const;
     /// Number of registered instances that act before this one.
@@ -82,6 +83,7 @@
     TimePoint nextCheck{0};                         ///< next check of the primaries
     std::map<std::string, Suspicion> suspicions;    ///< by service
     std::map<std::string, TimePoint> drainingSince; ///< by service: since when its primary is draining
+    std::map<std::string, TimePoint> unknownSince;  ///< by service: since when its leadership is not known
 };
 
 } // namespace Jujubekeel
--- a/src/leadership/recoverysystem.cpp
+++ b/src/leadership/recoverysystem.cpp
@@ -14,11 +14,8 @@
         return;
     if (this->world.now - view.eraSeenAt() < this->turn())
         return;
-    for (const auto &[service, row] : view.records()) {
-        if (!row.lost || this->world.now < this->recordsAt)
-            continue;
-        this->write(FleetView::recordName(service), row.version.revision, row.record.toText());
-    }
+    if (this->world.now >= this->recordsAt)
+        this->confirmRecords();
     if (!this->isMarkerDue())
         return;
     this->removeOutdatedMembers();
@@ -26,6 +23,45 @@
                 FleetView::recoveryText(view.version().era));
 }
 
+void RecoverySystem::confirmRecords()
+{
+    const FleetView &view = this->registration.fleet();
+    const std::uint64_t era = view.version().era;
+    const auto confirm = [&](const std::string &service, std::uint64_t revision, LeadershipRecord record) {
+        record.era = era;
+        this->write(FleetView::recordName(service), revision, record.toText());
+    };
+    // What this instance knows may have been replaced without it.
+    if (this->registration.mayLackEarlierEra())
+        return;
+    const bool isConfirming = !this->registration.isEraRecovered();
+    for (const auto &[service, row] : view.records()) {
+        if (row.lost || (isConfirming && row.record.era != era))
+            confirm(service, row.version.revision, row.record);
+    }
+    if (!isConfirming)
+        return;
+    // Instances that have started since cannot tell a primary that was never replaced from one whose replacement the
+    // store has lost.
+    this->world.services.forEach([&](ServiceId, const ServiceRow &service) {
+        const bool isCertain = !service.changing && this->world.isLeadershipVerified(service);
+        if (isCertain && !service.primaryId.empty() && view.record(service.name) == nullptr)
+            confirm(service.name, 0, {.term = service.term, .primary = service.primaryId});
+    });
+}
+
+bool RecoverySystem::areRecordsConfirmed() const
+{
+    const FleetView &view = this->registration.fleet();
+    bool confirmed = true;
+    this->world.services.forEach([&](ServiceId, const ServiceRow &service) {
+        const FleetView::Record *known = view.record(service.name);
+        confirmed =
+            confirmed && (service.servers.empty() || (known != nullptr && known->record.era == view.version().era));
+    });
+    return confirmed;
+}
+
 void RecoverySystem::removeOutdatedMembers()
 {
     // Their authority leases have expired. An instance that is still running registers again.
@@ -53,7 +89,9 @@
         return true;
     const bool recordsLost =
         std::any_of(view.records().begin(), view.records().end(), [](const auto &row) { return row.second.lost; });
-    return !recordsLost && this->world.now - view.eraSeenAt() >= this->registration.leaseExpiryTime() + this->turn();
+    // After the recovery a missing record means that a primary was never replaced.
+    return !recordsLost && this->areRecordsConfirmed()
+           && this->world.now - view.eraSeenAt() >= this->registration.leaseExpiryTime() + this->turn();
 }
 
 Duration RecoverySystem::turn() const
--- a/src/leadership/recoverysystem.h
+++ b/src/leadership/recoverysystem.h
@@ -12,8 +12,8 @@
 class RegistrationSystem;
 struct PoolWorld;
 
-/// Restores what the store has lost after it returned from an older copy: writes leadership records again that this
-/// member still knows. When the authority leases of the era before have expired, it removes registrations that nobody
+/// Restores what the store has lost after it returned from an older copy: writes the leadership again that this member
+/// still knows, also where the store has kept it, for instances that have started since. When the authority leases of the era before have expired, it removes registrations that nobody
 /// has renewed and marks the era as recovered. The members take turns, so that usually only the first one writes. Owned
 /// by PoolCore; used only within its calls.
 class RecoverySystem final
@@ -34,6 +34,10 @@
 
 private:
     [[nodiscard]] bool isMarkerDue() const;
+    /// Writes records that the store has lost or that were not confirmed in its present era.
+    void confirmRecords();
+    /// True if the leadership of each service was written or confirmed in the present era.
+    [[nodiscard]] bool areRecordsConfirmed() const;
     /// Removes registrations that the copy contains again, of instances that have not registered since.
     void removeOutdatedMembers();
     /// Delay of this member's turn.
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -26,11 +26,15 @@
 {
     // An answer that was overtaken by a later one verifies nothing.
     const StoreVersion before = this->view.version();
+    // Without a verification within the lease a primary may have been replaced without this instance.
+    const bool lapsed = this->world.fleetVerifiedAt.count() == 0
+                        || this->world.now - this->world.fleetVerifiedAt > this->world.options.authorityLease;
+    const bool lacked = this->mayLackEarlierEra() || lapsed;
     if (!this->view.apply(update, this->world.now))
         return;
     this->readAt = std::max(this->readAt, update.requestedAt);
     if (before.revision != 0 && before.era != this->view.version().era)
-        this->eraChanged(before.era);
+        this->eraChanged(before.era, lacked);
     const FleetView::Member *own = this->view.currentMember(this->world.options.instance);
     if (own != nullptr)
         this->ownRevision = std::max(this->ownRevision, own->version.revision);
@@ -49,11 +53,13 @@
     this->acceptVerification(update.requestedAt);
 }
 
-void RegistrationSystem::eraChanged(std::uint64_t earlier)
+void RegistrationSystem::eraChanged(std::uint64_t earlier, bool lacked)
 {
+    this->lackedEarlierEra = lacked;
     this->world.log(LogLevel::Warning, "store-era-changed",
                     {{"era", std::to_string(this->view.version().era)},
                      {"earlier", std::to_string(earlier)},
+                     {"lacked", lacked ? "true" : "false"},
                      {"revision", std::to_string(this->view.revision())}});
     this->world.counters.add("jujubekeel_pool_store_era_changes_total");
     if (this->unregistering)
@@ -288,10 +294,17 @@
     return this->view.isEraRecovered() || (this->world.options.firstStart && !this->view.remembersEarlierEra());
 }
 
+bool RegistrationSystem::isLeadershipKnown(std::string_view service) const
+{
+    if (!this->mayLackEarlierEra())
+        return true;
+    const FleetView::Record *known = this->view.record(service);
+    return known != nullptr && known->record.era == this->view.version().era;
+}
+
 TimePoint RegistrationSystem::recoveryEnd() const
 {
-    return this->view.eraSeenAt()
-           + (this->view.remembersEarlierEra() ? this->options.recoveryWait : this->options.entryWait);
+    return this->view.eraSeenAt() + (this->mayLackEarlierEra() ? this->options.entryWait : this->options.recoveryWait);
 }
 
 bool RegistrationSystem::isRecovering() const
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Jujubekeel {
 
@@ -73,8 +74,11 @@
     /// True if the store may have lost what this instance has never read.
     [[nodiscard]] bool mayLackEarlierEra() const
     {
-        return !this->isEraRecovered() && !this->view.remembersEarlierEra();
+        return !this->isEraRecovered() && (!this->view.remembersEarlierEra() || this->lackedEarlierEra);
     }
+    /// False while the store may have lost a later record of the service's leadership than the one that it shows: this
+    /// instance may lack the earlier era, and nobody has written or confirmed the record in the present one.
+    [[nodiscard]] bool isLeadershipKnown(std::string_view service) const;
     /// True while other instances may still have to write again what the store has lost: no view of it is verified, and
     /// no replacement starts.
     [[nodiscard]] bool isRecovering() const;
@@ -85,7 +89,8 @@
 
 private:
     /// The store has returned from an older copy: registers again.
-    void eraChanged(std::uint64_t earlier);
+    /// \a lacked: what this instance knows of the era before may be incomplete.
+    void eraChanged(std::uint64_t earlier, bool lacked);
     /// Leadership counts as verified from this time on.
     [[nodiscard]] TimePoint recoveryEnd() const;
     /// Counts an update requested at \a requestedAt as a verification; ends the registration if the authority lease has
@@ -108,8 +113,9 @@
     PoolWorld &world;
     LeadershipOptions options;
     FleetView view;
-    MemberRecord desired; ///< intended content of the own member object
-    MemberRecord written; ///< content last written, as far as known
+    MemberRecord desired;          ///< intended content of the own member object
+    MemberRecord written;          ///< content last written, as far as known
+    bool lackedEarlierEra = false; ///< when the present era began, this instance may have lacked earlier changes
     bool registered = false;
     bool unregistering = false;
     bool unregistered = false;
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -27,6 +27,9 @@
     return (announced.era << revisionBits) + announced.revision;
 }
 
+/// Bits of an epoch below the era.
+constexpr unsigned epochBits = 32;
+
 bool hasReleased(const FleetView::Member &member, const ServiceRow &service, std::uint64_t epoch)
 {
     const auto released = member.record.released.find(service.name);
@@ -48,10 +51,17 @@
         return;
     std::vector<std::pair<ServiceId, bool>> due;
     std::vector<ServiceId> unfinished;
+    std::vector<ServiceId> unknown;
     this->world.services.forEach([&](ServiceId id, ServiceRow &service) {
         if (this->replacements.contains(id))
             return;
         const FleetView::Record *known = this->registration.fleet().record(service.name);
+        // No later record was found, so the servers are asked, also about a replacement that this record shows.
+        if (!this->registration.isLeadershipKnown(service.name)) {
+            if (this->leadership.shouldFindPrimary(id))
+                unknown.push_back(id);
+            return;
+        }
         // The announcement would be conditional on a record that is about to be written again.
         if (known != nullptr && known->lost)
             return;
@@ -67,6 +77,8 @@
         this->resume(id);
     for (const auto &[id, planned] : due)
         this->begin(id, planned);
+    for (const ServiceId id : unknown)
+        this->findPrimary(id);
 }
 
 void ReplacementSystem::resume(ServiceId id)
@@ -89,23 +101,48 @@
     this->scheduleAdvance(this->options.stepInterval);
 }
 
-void ReplacementSystem::begin(ServiceId id, bool planned)
+ReplacementSystem::Replacement ReplacementSystem::prepare(const ServiceRow &service, std::string_view primary) const
 {
-    const ServiceRow &service = this->world.services.at(id);
     const FleetView::Record *known = this->registration.fleet().record(service.name);
     Replacement replacement{.startedAt = this->world.now, .stepAt = this->world.now};
     replacement.expectedRevision = known == nullptr ? 0 : known->version.revision;
-    replacement.record = LeadershipRecord{.epoch = (known == nullptr ? 0 : known->record.epoch) + 1,
+    std::uint64_t epoch = (known == nullptr ? 0 : known->record.epoch) + 1;
+    // The store may have lost later epochs, which other instances still know.
+    if (this->registration.mayLackEarlierEra())
+        epoch = std::max(epoch, this->registration.fleet().version().era << epochBits);
+    replacement.record = LeadershipRecord{.epoch = epoch,
                                           .term = std::max(service.term, known == nullptr ? 0 : known->record.term),
-                                          .primary = service.primaryId,
+                                          .primary = std::string(primary),
                                           .changing = true,
-                                          .planned = planned,
                                           .holder = this->world.options.instance};
     if (known != nullptr && known->record.changing) {
         // An earlier holder may have promoted its candidate already. In this epoch another one may be chosen.
         replacement.record.candidate = known->record.candidate;
         replacement.record.termAbove = known->record.termAbove;
     }
+    return replacement;
+}
+
+void ReplacementSystem::findPrimary(ServiceId id)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    Replacement replacement = this->prepare(service, {});
+    replacement.step = Step::Examine;
+    this->world.log(LogLevel::Warning, "primary-unknown",
+                    {{"service", service.name},
+                     {"servers", std::to_string(service.servers.size())},
+                     {"epoch", std::to_string(replacement.record.epoch)},
+                     {"era", std::to_string(this->registration.fleet().version().era)}});
+    this->world.counters.add("jujubekeel_pool_primaries_unknown_total");
+    this->replacements.emplace(id, std::move(replacement));
+    this->scheduleAdvance(Duration{0});
+}
+
+void ReplacementSystem::begin(ServiceId id, bool planned)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    Replacement replacement = this->prepare(service, service.primaryId);
+    replacement.record.planned = planned;
     this->world.log(
         LogLevel::Warning, "replacement-started",
         {{"service", service.name},
@@ -121,11 +158,13 @@
 
 void ReplacementSystem::writeRecord(ServiceId id, Replacement &replacement, const LeadershipRecord &record)
 {
+    LeadershipRecord written = record;
+    written.era = this->registration.fleet().version().era;
     replacement.call = this->world.takeCall();
     this->world.emit(WriteFleetObject{.call = replacement.call,
                                       .name = FleetView::recordName(this->world.services.at(id).name),
                                       .expectedRevision = replacement.expectedRevision,
-                                      .content = record.toText()});
+                                      .content = written.toText()});
 }
 
 void ReplacementSystem::enter(Replacement &replacement, Step step)
@@ -246,6 +285,9 @@
     switch (replacement.step) {
     case Step::Announce:
         return false;
+    case Step::Examine:
+        this->examine(id, replacement);
+        return true;
     case Step::AwaitRelease:
         // The view of the members must be at least as recent as the announcement.
         if (this->registration.fleet().version() < replacement.announced || !this->allReleased(service, replacement))
@@ -291,6 +333,34 @@
     return true;
 }
 
+void ReplacementSystem::examine(ServiceId id, Replacement &replacement)
+{
+    const ServiceRow &service = this->world.services.at(id);
+    const std::vector<CandidateState> candidates = this->collectCandidates(service, replacement);
+    this->requestStatuses(service, replacement, candidates);
+    const bool allAnswered =
+        std::all_of(candidates.begin(), candidates.end(), [](const auto &candidate) { return candidate.status; });
+    if (!allAnswered && this->world.now - replacement.stepAt < this->options.evidenceWait)
+        return;
+    // A server that leads the newest term of all replaced the others. One that does not answer may lead a newer term.
+    const auto leads = [](const CandidateState &candidate) { return candidate.hasTakenOver; };
+    const auto leader = std::find_if(candidates.begin(), candidates.end(), leads);
+    if (allAnswered && leader != candidates.end()) {
+        this->world.log(LogLevel::Info, "primary-found",
+                        {{"service", service.name},
+                         {"primary", leader->id},
+                         {"term", std::to_string(leader->status->term)},
+                         {"answered", std::to_string(candidates.size())}});
+        replacement.record.candidate = leader->id;
+        replacement.record.term = leader->status->term;
+        this->enter(replacement, Step::Record);
+        this->writeResult(id, replacement);
+        return;
+    }
+    this->enter(replacement, Step::Announce);
+    this->writeRecord(id, replacement, replacement.record);
+}
+
 void ReplacementSystem::announceAgain(ServiceId id, Replacement &replacement)
 {
     // The candidate may still become primary, and other instances would use it: an earlier promotion call whose answer
@@ -614,15 +684,11 @@
 bool ReplacementSystem::hasTakenOver(const Replacement &replacement, const std::string &server) const
 {
     const ReplicationStatus &status = replacement.statuses.at(server);
-    if (!status.isPrimary || server == replacement.record.primary)
+    if (!status.isPrimary || server == replacement.record.primary || status.term < this->newestTerm(replacement))
         return false;
-    // Promoted by an earlier holder that did not record the result.
-    if (server == replacement.record.candidate)
-        return status.term > replacement.record.termAbove;
-    // Promoted by a replacement whose record the store has lost. Without the term of the recorded primary, a primary of
-    // before could be mistaken for it.
-    return this->registration.mayLackEarlierEra() && replacement.record.term != 0
-           && status.term > replacement.record.term;
+    // Promoted by an earlier holder that did not record the result, or by a replacement whose record the store has lost.
+    const bool isCandidate = server == replacement.record.candidate && status.term > replacement.record.termAbove;
+    return isCandidate || replacement.record.primary.empty();
 }
 
 void ReplacementSystem::promote(ServiceId id, Replacement &replacement)
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Jujubekeel {
@@ -51,6 +52,7 @@
 
 private:
     enum class Step : std::uint8_t {
+        Examine,        ///< the primary is not known: ask the servers who leads, before anything is announced
         Announce,       ///< write to the record that the primary is being replaced
         AwaitRelease,   ///< wait until every registered instance has released the old primary
         Choose,         ///< collect the log positions of the candidates and choose one
@@ -78,6 +80,11 @@
         std::map<std::string, TimePoint> statusRequestedAt; ///< by server; removed with the answer
     };
 
+    /// A replacement of \a primary that is not announced yet; empty: it is not known.
+    [[nodiscard]] Replacement prepare(const ServiceRow &service, std::string_view primary) const;
+    /// Asks the servers which of them leads, and records it. If they do not tell, one is promoted.
+    void findPrimary(ServiceId service);
+    void examine(ServiceId service, Replacement &replacement);
     void begin(ServiceId service, bool planned);
     void resume(ServiceId service);
     void enter(Replacement &replacement, Step step);
