--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -14,6 +14,9 @@
 constexpr std::string_view recordPrefix = "leader.";
 constexpr std::string_view memberPrefix = "member.";
 
+/// A planned stop alone takes longer (PoolOptions::stopDrainDelay), so that no member comes and goes within this time.
+constexpr Duration shortestMembership = std::chrono::seconds(2);
+
 } // namespace
 
 std::string FleetView::recordName(std::string_view service)
@@ -47,6 +50,10 @@
     const bool continues = update.complete || version.era == this->knownVersion.era || this->revision() == 0;
     if (version < this->knownVersion || !continues)
         return false;
+    // Changes before a list are not seen.
+    if (update.complete && this->revision() != 0 && now - this->viewedAt >= shortestMembership)
+        this->lostMemberVersion = version;
+    this->viewedAt = update.requestedAt;
     const bool entersEra = version.era != this->knownVersion.era || this->revision() == 0;
     if (entersEra)
         this->enterEra(now);
@@ -170,6 +177,10 @@
     } else if (name.starts_with(memberPrefix)) {
         const std::string instance(name.substr(memberPrefix.size()));
         auto record = MemberRecord::fromText(object.content);
+        // An evicted member has acknowledged nothing since.
+        const Member *known = this->member(instance);
+        if (object.deleted && known != nullptr && !known->record.isEvicted())
+            this->lostMemberVersion = version;
         if (object.deleted)
             this->memberRows.erase(instance);
         else if (record && this->memberRows[instance].version < version)
--- a/src/leadership/fleetview.h
+++ b/src/leadership/fleetview.h
@@ -72,6 +72,8 @@
     [[nodiscard]] std::uint64_t memberRevision() const { return this->memberVersion().revision; }
     /// Differs between views whose members differ in what concerns relaying instances.
     [[nodiscard]] std::uint64_t memberDigest() const;
+    /// Version at which a member that may have acknowledged commits was last missing, or may have come and gone unseen.
+    [[nodiscard]] StoreVersion memberLostAt() const { return this->lostMemberVersion; }
     /// Instance that last replaced a primary of any service; empty if there was none.
     [[nodiscard]] std::string lastHolder() const;
 
@@ -86,6 +88,8 @@
     std::map<std::string, Record, std::less<>> recordRows; ///< by service
     std::map<std::string, Member, std::less<>> memberRows; ///< by instance
     StoreVersion knownVersion;
+    StoreVersion lostMemberVersion;
+    TimePoint viewedAt{0}; ///< the view reflects the store at this time or later
     StoreVersion reportedVersion; ///< of the last report of a member
     TimePoint eraFirstSeen{0};
     bool hasEarlierEra = false;
--- a/src/leadership/leadershiprecord.cpp
+++ b/src/leadership/leadershiprecord.cpp
@@ -18,17 +18,13 @@
 
 std::string LeadershipRecord::toText() const
 {
-    return nlohmann::json{{"epoch", this->epoch},
-                          {"term", this->term},
-                          {"primary", this->primary},
-                          {"changing", this->changing},
-                          {"planned", this->planned},
-                          {"holder", this->holder},
-                          {"candidate", this->candidate},
-                          {"declared", this->declared},
-                          {"termAbove", this->termAbove},
-                          {"abandoned", this->abandoned},
-                          {"era", this->era}}
+    auto since = nlohmann::json::array();
+    if (this->primarySince)
+        since = {this->primarySince->era, this->primarySince->revision};
+    return nlohmann::json{{"primarySince", since},        {"epoch", this->epoch},         {"term", this->term},
+                          {"primary", this->primary},     {"changing", this->changing},   {"planned", this->planned},
+                          {"holder", this->holder},       {"candidate", this->candidate}, {"declared", this->declared},
+                          {"termAbove", this->termAbove}, {"abandoned", this->abandoned}, {"era", this->era}}
         .dump();
 }
 
@@ -40,10 +36,17 @@
     try {
         const nlohmann::json &root = *parsed;
         const auto candidate = root.at("candidate").get<std::string>();
+        // Earlier versions do not write it.
+        const nlohmann::json since = root.value("primarySince", nlohmann::json::array());
+        std::optional<StoreVersion> primarySince;
+        if (!since.empty())
+            primarySince =
+                StoreVersion{.era = since.at(0).get<std::uint64_t>(), .revision = since.at(1).get<std::uint64_t>()};
         return LeadershipRecord{.epoch = root.at("epoch").get<std::uint64_t>(),
                                 .era = root.value("era", std::uint64_t{0}),
                                 .term = root.at("term").get<std::uint64_t>(),
                                 .primary = root.at("primary").get<std::string>(),
+                                .primarySince = primarySince,
                                 .changing = root.at("changing").get<bool>(),
                                 .planned = root.at("planned").get<bool>(),
                                 .candidate = candidate,
--- a/src/leadership/leadershiprecord.h
+++ b/src/leadership/leadershiprecord.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/storeversion.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,9 +19,11 @@
     std::uint64_t era = 0;  ///< of the store in which it was written or confirmed last; 0: not known
     std::uint64_t term = 0; ///< replication term of the last promoted primary; 0: none was promoted yet
     std::string primary;    ///< id of the primary; while changing, of the one being replaced
-    bool changing = false;  ///< a replacement is in progress: no instance sends new work to the primary
-    bool planned = false;   ///< while changing: the primary still answers; running work may finish
-    std::string candidate;  ///< while changing: server that this or an earlier holder promotes
+    /// Point in the store's history before which no instance has used this primary; empty: not known.
+    std::optional<StoreVersion> primarySince;
+    bool changing = false; ///< a replacement is in progress: no instance sends new work to the primary
+    bool planned = false;  ///< while changing: the primary still answers; running work may finish
+    std::string candidate; ///< while changing: server that this or an earlier holder promotes
     /// While changing: the candidate was declared in this epoch. Instances use it as soon as it reports that it is
     /// primary, so it stays the only one until another replacement is announced.
     bool declared = false;
--- a/src/leadership/memberrecord.cpp
+++ b/src/leadership/memberrecord.cpp
@@ -22,7 +22,11 @@
     auto seenPositions = nlohmann::json::object();
     for (const auto &[service, position] : this->seen)
         seenPositions[service] = {position.term, position.position};
-    return nlohmann::json{{"incarnation", this->incarnation},
+    auto knownFrom = nlohmann::json::array();
+    if (this->knownSince)
+        knownFrom = {this->knownSince->era, this->knownSince->revision};
+    return nlohmann::json{{"knownSince", knownFrom},
+                          {"incarnation", this->incarnation},
                           {"era", this->era},
                           {"renewals", this->renewals},
                           {"relayAddress", this->relayAddress},
@@ -51,7 +55,11 @@
             record.views[service] = reachable.get<bool>() ? PrimaryView::Reachable : PrimaryView::Unreachable;
         for (const auto &[service, epoch] : root.at("released").items())
             record.released[service] = epoch.get<std::uint64_t>();
-        // Earlier versions do not write it.
+        // Earlier versions write neither of these.
+        const nlohmann::json knownFrom = root.value("knownSince", nlohmann::json::array());
+        if (!knownFrom.empty())
+            record.knownSince = StoreVersion{.era = knownFrom.at(0).get<std::uint64_t>(),
+                                             .revision = knownFrom.at(1).get<std::uint64_t>()};
         const nlohmann::json seen = root.value("seen", nlohmann::json::object());
         for (const auto &[service, position] : seen.items())
             record.seen[service] = LogPosition{.term = position.at(0).get<std::uint64_t>(),
--- a/src/leadership/memberrecord.h
+++ b/src/leadership/memberrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/storeversion.h"
 #include "session/logposition.h"
 
 #include <cstdint>
@@ -28,12 +29,15 @@
     std::string relayAddress;      ///< "ip:port" for relayed work; empty: accepts none
     std::string failureDomain;
     MemberState state = MemberState::Joining;
-    std::uint64_t era = 0;      ///< of the store in which the instance registered; 0: not known
+    std::uint64_t era = 0; ///< of the store in which the instance registered; 0: not known
+    /// Point in the store's history from which on this incarnation knows what it has acknowledged; empty: not known. An
+    /// earlier process of the same name may have acknowledged commits before.
+    std::optional<StoreVersion> knownSince;
     std::uint64_t renewals = 0; ///< increases whenever the instance registers again after its authority lease expired
     std::map<std::string, PrimaryView> views;      ///< by service; only for suspected primaries
     std::map<std::string, std::uint64_t> released; ///< by service: epoch whose old primary it no longer uses
-    /// By service: end of the old primary's log when the instance last saw it. All commits that the instance acknowledged
-    /// are before it.
+    /// By service: end of the old primary's log when the instance last saw it. All commits that this incarnation
+    /// acknowledged are before it.
     std::map<std::string, LogPosition> seen;
 
     /// True if the instance did not release a primary in time and was evicted (log event member-struck-off). It may act
--- a/src/leadership/recoverysystem.cpp
+++ b/src/leadership/recoverysystem.cpp
@@ -46,7 +46,8 @@
     this->world.services.forEach([&](ServiceId, const ServiceRow &service) {
         const bool isCertain = !service.changing && this->world.isLeadershipVerified(service);
         if (isCertain && !service.primaryId.empty() && view.record(service.name) == nullptr)
-            confirm(service.name, 0, {.term = service.term, .primary = service.primaryId});
+            confirm(service.name, 0,
+                    {.term = service.term, .primary = service.primaryId, .primarySince = StoreVersion{}});
     });
 }
 
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -179,6 +179,8 @@
             this->world.role = FleetRole::Relaying;
         return;
     }
+    if (!this->desired.knownSince)
+        this->desired.knownSince = this->world.options.firstStart ? StoreVersion{} : this->view.version();
     this->desired.era = this->view.version().era;
     this->written = this->desired;
     this->writeCall = this->world.takeCall();
@@ -302,6 +304,19 @@
     return known != nullptr && known->record.era == this->view.version().era;
 }
 
+bool RegistrationSystem::knowsAllCommits(std::optional<StoreVersion> primarySince) const
+{
+    if (!primarySince || this->view.memberLostAt() > *primarySince)
+        return false;
+    const auto isCovered = [&](const MemberRecord &record) {
+        return record.knownSince && *record.knownSince <= *primarySince;
+    };
+    const auto &members = this->view.members();
+    return isCovered(this->desired) && std::all_of(members.begin(), members.end(), [&](const auto &entry) {
+               return entry.first == this->world.options.instance || isCovered(entry.second.record);
+           });
+}
+
 TimePoint RegistrationSystem::recoveryEnd() const
 {
     return this->view.eraSeenAt() + (this->mayLackEarlierEra() ? this->options.entryWait : this->options.recoveryWait);
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -79,6 +79,9 @@
     /// False while the store may have lost a later record of the service's leadership than the one that it shows: this
     /// instance may lack the earlier era, and nobody has written or confirmed the record in the present one.
     [[nodiscard]] bool isLeadershipKnown(std::string_view service) const;
+    /// True if the registered instances together know every commit that an instance has acknowledged at a primary which
+    /// was not used before \a primarySince: none of them has started since, and none has left.
+    [[nodiscard]] bool knowsAllCommits(std::optional<StoreVersion> primarySince) const;
     /// True while other instances may still have to write again what the store has lost: no view of it is verified, and
     /// no replacement starts.
     [[nodiscard]] bool isRecovering() const;
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -110,11 +110,13 @@
     // The store may have lost later epochs, which other instances still know.
     if (this->registration.mayLackEarlierEra())
         epoch = std::max(epoch, this->registration.fleet().version().era << epochBits);
-    replacement.record = LeadershipRecord{.epoch = epoch,
-                                          .term = std::max(service.term, known == nullptr ? 0 : known->record.term),
-                                          .primary = std::string(primary),
-                                          .changing = true,
-                                          .holder = this->world.options.instance};
+    replacement.record =
+        LeadershipRecord{.epoch = epoch,
+                         .term = std::max(service.term, known == nullptr ? 0 : known->record.term),
+                         .primary = std::string(primary),
+                         .primarySince = known == nullptr ? StoreVersion{} : known->record.primarySince,
+                         .changing = true,
+                         .holder = this->world.options.instance};
     if (known != nullptr && known->record.changing) {
         // An earlier holder may have promoted its candidate already. In this epoch another one may be chosen.
         replacement.record.candidate = known->record.candidate;
@@ -504,6 +506,8 @@
     }
     replacement.record.candidate = best->id;
     replacement.record.declared = true;
+    // One that has taken over before may have been used since then.
+    replacement.candidateSince = best->hasTakenOver ? std::nullopt : std::optional(replacement.announced);
     const auto answered = std::count_if(candidates.begin(), candidates.end(),
                                         [](const CandidateState &candidate) { return candidate.status.has_value(); });
     this->world.log(LogLevel::Info, "candidate-chosen",
@@ -559,11 +563,15 @@
 {
     CandidateConditions conditions{.syncReplicas = this->world.syncReplicas(service.name),
                                    .seen = service.primarySeen,
-                                   .seenByAll = true,
+                                   .seenByAll = this->registration.knowsAllCommits(replacement.record.primarySince),
                                    .waited = this->world.now - replacement.stepAt,
                                    .statusWait = this->options.statusWait,
                                    .evidenceWait = this->options.evidenceWait,
                                    .absentWait = this->options.absentWait};
+    // What was seen before an abandoned replacement, or before a candidate that was refused, still counts.
+    const auto &seenBefore = this->registration.own().seen;
+    if (const auto seen = seenBefore.find(service.name); seen != seenBefore.end())
+        conditions.seen = std::max(conditions.seen, seen->second);
     for (const auto &[instance, member] : this->registration.fleet().members()) {
         if (instance == this->world.options.instance)
             continue;
@@ -708,6 +716,7 @@
 {
     LeadershipRecord record = replacement.record;
     record.primary = record.candidate;
+    record.primarySince = replacement.candidateSince;
     record.candidate.clear();
     record.declared = false;
     record.termAbove = 0;
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -66,9 +66,10 @@
     {
         Step step = Step::Announce;
         LeadershipRecord record;
-        std::uint64_t expectedRevision = 0; ///< of the record, for the next write
-        StoreVersion announced;             ///< version of the announcement, from which the fencing token results
-        std::uint64_t call = 0;             ///< write or promotion in progress; 0: none
+        std::uint64_t expectedRevision = 0;         ///< of the record, for the next write
+        std::optional<StoreVersion> candidateSince; ///< no instance uses the candidate before; empty: not known
+        StoreVersion announced; ///< version of the announcement, from which the fencing token results
+        std::uint64_t call = 0; ///< write or promotion in progress; 0: none
         TimePoint startedAt{0};
         TimePoint announcedAt{0};
         TimePoint stepAt{0};                                ///< start of the current step
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -78,10 +78,13 @@
     ServiceRow &service = this->world.services.at(server.service);
     if (completed.exchange.kind == ExchangeKind::Position)
         service.positionRequestedAt = TimePoint{0};
-    if (service.primary != link.server || !completed.position || !this->isVerifiedPrimary(link, server.service))
+    const bool isPrimary = service.primary == link.server && service.leadershipGeneration == link.leadershipGeneration;
+    if (!isPrimary || service.released || !completed.position)
         return;
-    service.positions.add(completed.exchange.sentAt, *completed.position, this->world.now);
+    // Also if the leadership is not verified: the result may be withheld, and accepted after the next verification.
     service.primarySeen = std::max(service.primarySeen, *completed.position);
+    if (this->isVerifiedPrimary(link, server.service))
+        service.positions.add(completed.exchange.sentAt, *completed.position, this->world.now);
 }
 
 bool ResultSystem::isVerifiedPrimary(const LinkRow &link, ServiceId serviceId) const
--- a/src/pool/servicerow.h
+++ b/src/pool/servicerow.h
@@ -33,8 +33,8 @@
     bool released = false;               ///< while changing: this instance no longer accepts results of the primary
     TimePoint leadershipVerifiedAt{0};   ///< the leadership was last verified to be unchanged; 0: never
     PositionHistory positions;
-    LogPosition primarySeen;  ///< highest log position in answers of the primary while its leadership was verified
-    TimePoint committedAt{0}; ///< last acknowledged commit of this instance
+    LogPosition primarySeen;                   ///< highest log position in answers of the primary, verified or not
+    TimePoint committedAt{0};                  ///< last acknowledged commit of this instance
     std::map<std::string, TimePoint> departed; ///< servers that left lately, and when
     TimePoint positionRequestedAt{0};          ///< when the request in progress was sent; 0: there is none
 };
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -463,6 +463,86 @@
     EXPECT_EQ(run.pool.promotions(), 1U);
 }
 
+/// A commit that one instance acknowledges and then forgets, held by one replica only, which answers late; the other replica,
+/// which lacks it, answers at once.
+struct ForgottenCommit
+{
+    enum class Cause { Killed, Stopped };
+
+    explicit ForgottenCommit(Cause cause, std::size_t writer, std::uint32_t instances = 3)
+        : pool([&] {
+              VirtualPoolOptions options = synchronousOptions();
+              options.instances = instances;
+              return options;
+          }())
+    {
+        this->pool.run(seconds(3));
+        for (std::size_t instance = 0; instance < this->pool.instanceCount(); ++instance)
+            this->write(instance, "first" + std::to_string(instance));
+        this->pool.run(milliseconds(500));
+        this->pool.group().setReplicationIsolated(1, true);
+        EXPECT_FALSE(this->write(writer, "kept").error);
+        this->pool.group().setBusyStatuses(2, 1000);
+        if (cause == Cause::Killed) {
+            this->pool.killInstance(writer);
+            this->pool.at(milliseconds(200), [this, writer] { this->pool.startInstance(writer); });
+        } else {
+            this->pool.requestStop(writer);
+            this->pool.run(seconds(4));
+        }
+        this->pool.stopServer(0);
+        this->pool.run(seconds(12));
+    }
+    CallerReply write(std::size_t instance, const std::string &id)
+    {
+        const auto caller = *this->pool.openCaller(instance, VirtualPool::primaryRoute);
+        return runStatement(this->pool, caller, StatementKind::Write, id, "WRITE 1 x");
+    }
+
+    VirtualPool pool;
+};
+
+// Guards against the loss of a commit whose instance has restarted or left since it acknowledged it: those that remain
+// have seen less, and took that for everything that was acknowledged (review case 7).
+TEST(Replacement, CommitThatAnInstanceHasForgottenIsNotLost)
+{
+    using Cause = ForgottenCommit::Cause;
+    for (const Cause cause : {Cause::Killed, Cause::Stopped}) {
+        for (std::size_t writer = 0; writer < 3; ++writer) {
+            SCOPED_TRACE(std::string(cause == Cause::Killed ? "killed" : "stopped") + " writer "
+                         + std::to_string(writer));
+            ForgottenCommit forgotten(cause, writer);
+            EXPECT_EQ(forgotten.pool.promotions(), 0U) << "one answer is not enough";
+            EXPECT_GE(forgotten.pool.countLogs("candidates-awaited"), 1U);
+            forgotten.pool.group().setBusyStatuses(2, 0);
+            forgotten.pool.run(seconds(5));
+            EXPECT_TRUE(forgotten.pool.group().isPrimary(2));
+        }
+    }
+}
+
+// Guards against the loss of a commit whose result was withheld when it came, and accepted after the next verification:
+// it did not count as seen.
+TEST(Replacement, WithheldCommitCountsAsSeen)
+{
+    VirtualPoolOptions options = synchronousOptions();
+    options.instances = 1;
+    VirtualPool pool(options);
+    pool.run(seconds(3));
+    const PoolWorld &world = pool.core(0)->state();
+    const ServiceRow &service = world.services.at(world.serviceByName.at("records"));
+    pool.setStoreReachable(0, false);
+    // The lease ends while the statement runs.
+    while (pool.now() - service.leadershipVerifiedAt < options.pool.authorityLease - milliseconds(5))
+        pool.run(milliseconds(1));
+    const auto caller = *pool.openCaller(0, VirtualPool::primaryRoute);
+    pool.send(caller, Statement{.kind = StatementKind::Write, .id = "w", .text = "WRITE 1 x"});
+    pool.run(milliseconds(200));
+    ASSERT_FALSE(pool.group().history().commits.empty());
+    ASSERT_TRUE(pool.caller(caller).replies.empty());
+    EXPECT_GE(service.primarySeen, pool.group().history().commits.back().position);
+}
+
 class SynchronousFaults : public testing::TestWithParam<std::uint64_t>
 {
 };
