Replacement: replicas that left before the holder started count as missing

Change: with its release of a primary an instance publishes which servers may hold commits; servers that left before a later commit was acknowledged are excluded. A holder counts those that it does not list as missing.

Not covered: if all instances restart, nobody remembers the replica that left (docs/incidents/forgotten-commit.md).

--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace Jujubekeel {
 
@@ -40,6 +41,9 @@
     /// True if the primary must be replaced now and it is this instance's turn by rank. \a planned is set if the
     /// primary still answers.
     [[nodiscard]] bool shouldReplace(ServiceId service, bool &planned) const;
+    /// Number of servers that are not listed here and may hold acknowledged commits which others lack, as the members tell
+    /// that have released \a primary for \a epoch.
+    [[nodiscard]] std::uint32_t countDeparted(ServiceId service, std::string_view primary, std::uint64_t epoch) const;
     /// True if the primary must be found by asking the servers, because the store may have lost the record of it, and it
     /// is this instance's turn by rank.
     [[nodiscard]] bool shouldFindPrimary(ServiceId service) const;
@@ -65,6 +69,8 @@
     /// Releases a primary that is being replaced, unless a planned replacement lets running work finish.
     void releaseIfIdle(ServiceId service);
     void release(ServiceId service);
+    /// MemberRecord::holders of a service, as known now.
+    [[nodiscard]] std::map<std::string, bool> commitHolders(const ServiceRow &service) const;
     void checkView(ServiceId service);
     void scheduleCheck();
     [[nodiscard]] bool isUnreachable(const ServiceRow &service) const;
--- a/src/leadership/memberrecord.cpp
+++ b/src/leadership/memberrecord.cpp
@@ -34,7 +34,8 @@
                           {"state", static_cast<std::uint32_t>(this->state)},
                           {"reachable", reachable},
                           {"released", this->released},
-                          {"seen", seenPositions}}
+                          {"seen", seenPositions},
+                          {"holders", this->holders}}
         .dump();
 }
 
@@ -55,7 +56,9 @@
             record.views[service] = reachable.get<bool>() ? PrimaryView::Reachable : PrimaryView::Unreachable;
         for (const auto &[service, epoch] : root.at("released").items())
             record.released[service] = epoch.get<std::uint64_t>();
-        // Earlier versions write neither of these.
+        // Earlier versions write none of these.
+        record.holders =
+            root.value("holders", nlohmann::json::object()).get<std::map<std::string, std::map<std::string, bool>>>();
         const nlohmann::json knownFrom = root.value("knownSince", nlohmann::json::array());
         if (!knownFrom.empty())
             record.knownSince = StoreVersion{.era = knownFrom.at(0).get<std::uint64_t>(),
--- a/src/leadership/memberrecord.h
+++ b/src/leadership/memberrecord.h
@@ -39,7 +39,16 @@
     /// By service: end of the old primary's log when the instance last saw it. All commits that this incarnation
     /// acknowledged are before it.
     std::map<std::string, LogPosition> seen;
-
+    /// By service with synchronous replicas, and by server that the instance knew at its release: whether the server may
+    /// hold commits that others lack. False for one that had left before a commit was acknowledged.
+    std::map<std::string, std::map<std::string, bool>> holders;
+
+    /// True if the instance no longer uses the primary that is replaced in this epoch or an earlier one.
+    [[nodiscard]] bool hasReleased(const std::string &service, std::uint64_t epoch) const
+    {
+        const auto found = this->released.find(service);
+        return found != this->released.end() && found->second >= epoch;
+    }
     /// True if the instance did not release a primary in time and was evicted (log event member-struck-off). It may act
     /// on its old fleet view until its authority lease expires.
     [[nodiscard]] bool isEvicted() const { return this->incarnation == 0; }
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <functional>
 #include <optional>
+#include <utility>
 
 namespace Jujubekeel {
 
@@ -354,9 +355,12 @@
         this->desired.views.erase(service);
 }
 
-void RegistrationSystem::setReleased(const std::string &service, std::uint64_t epoch, LogPosition seen)
+void RegistrationSystem::setReleased(const std::string &service, std::uint64_t epoch, LogPosition seen,
+                                     std::map<std::string, bool> holders)
 {
     this->desired.released[service] = epoch;
+    if (!holders.empty())
+        this->desired.holders[service] = std::move(holders);
     if (seen != LogPosition{})
         this->desired.seen[service] = seen;
 }
@@ -365,6 +369,7 @@
 {
     this->desired.released.erase(service);
     this->desired.seen.erase(service);
+    this->desired.holders.erase(service);
 }
 
 void RegistrationSystem::clearReleasedBefore(const std::string &service, std::uint64_t epoch)
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -6,6 +6,7 @@
 #include "leadership/memberrecord.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,8 +45,9 @@
 
     // State of primaries in the member object; written by the next publish().
     void setView(const std::string &service, std::optional<PrimaryView> primaryView);
-    /// \a seen: end of the old primary's log as this instance has seen it.
-    void setReleased(const std::string &service, std::uint64_t epoch, LogPosition seen);
+    /// \a seen: end of the old primary's log as this instance has seen it. \a holders: see MemberRecord::holders.
+    void setReleased(const std::string &service, std::uint64_t epoch, LogPosition seen,
+                     std::map<std::string, bool> holders);
     void clearReleased(const std::string &service);
     /// Clears a release of an epoch before \a epoch.
     void clearReleasedBefore(const std::string &service, std::uint64_t epoch);
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -32,8 +32,7 @@
 
 bool hasReleased(const FleetView::Member &member, const ServiceRow &service, std::uint64_t epoch)
 {
-    const auto released = member.record.released.find(service.name);
-    return released != member.record.released.end() && released->second >= epoch;
+    return member.record.hasReleased(service.name, epoch);
 }
 
 } // namespace
@@ -475,7 +474,7 @@
 bool ReplacementSystem::choose(ServiceId id, Replacement &replacement)
 {
     const ServiceRow &service = this->world.services.at(id);
-    const CandidateConditions conditions = this->conditions(service, replacement);
+    const CandidateConditions conditions = this->conditions(id, replacement);
     std::vector<CandidateState> candidates = this->collectCandidates(service, replacement);
     // A server that refused may be running again, and may be the only one that holds all commits.
     const bool waitsLong = conditions.waited >= this->options.evidenceWait;
@@ -559,8 +558,9 @@
     return term;
 }
 
-CandidateConditions ReplacementSystem::conditions(const ServiceRow &service, const Replacement &replacement) const
+CandidateConditions ReplacementSystem::conditions(ServiceId id, const Replacement &replacement) const
 {
+    const ServiceRow &service = this->world.services.at(id);
     CandidateConditions conditions{.syncReplicas = this->world.syncReplicas(service.name),
                                    .seen = service.primarySeen,
                                    .seenByAll = this->registration.knowsAllCommits(replacement.record.primarySince),
@@ -580,11 +580,7 @@
         if (seen != member.record.seen.end())
             conditions.seen = std::max(conditions.seen, seen->second);
     }
-    // What was acknowledged after a server had left is held by one of the others, and so is all that came before.
-    conditions.departed = static_cast<std::uint32_t>(
-        std::count_if(service.departed.begin(), service.departed.end(), [&](const auto &entry) {
-            return entry.first != replacement.record.primary && entry.second >= service.committedAt;
-        }));
+    conditions.departed = this->leadership.countDeparted(id, replacement.record.primary, replacement.record.epoch);
     return conditions;
 }
 
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -111,7 +111,7 @@
     /// What is known of the servers that may become primary or hold commits that others lack.
     [[nodiscard]] std::vector<CandidateState> collectCandidates(const ServiceRow &service,
                                                                 const Replacement &replacement) const;
-    [[nodiscard]] CandidateConditions conditions(const ServiceRow &service, const Replacement &replacement) const;
+    [[nodiscard]] CandidateConditions conditions(ServiceId service, const Replacement &replacement) const;
     /// The old primary is to be replaced as planned, and still answers.
     [[nodiscard]] bool oldPrimaryAnswers(const ServiceRow &service, const Replacement &replacement) const;
     /// Chooses a candidate that has received the whole log of an old primary which still answers; null while there is
--- a/src/programs/jujubekeel-poolbench/main.cpp
+++ b/src/programs/jujubekeel-poolbench/main.cpp
@@ -17,9 +17,9 @@
 constexpr const char *usage = R"(Simulates entry instances, backend servers and the store in virtual time.
 
 Usage:
-  jujubekeel-poolbench random [--from=SEED] [--runs=N] [--relays] [--restored] [--sync] [--organisations]
-      [--paced]
-  jujubekeel-poolbench trace SEED [--relays] [--restored] [--sync] [--organisations]
+  jujubekeel-poolbench random [--from=SEED] [--runs=N] [--relays] [--restored] [--sync] [--crashes]
+      [--organisations] [--paced]
+  jujubekeel-poolbench trace SEED [--relays] [--restored] [--sync] [--crashes] [--organisations]
       [--paced]
   jujubekeel-poolbench failover [--seeds=N]
   jujubekeel-poolbench sharing [--seeds=N]
@@ -33,6 +33,7 @@
   --seeds=N    number of seeds for each row of the table [default: 10]
   --relays     nine instances: three are members, the others relay requests to them
   --restored   the store also returns from an older copy, once or twice in each run
+  --crashes    the primary also crashes while an instance restarts and the replicas differ, once or twice in each run
   --sync       a commit is acknowledged when one replica has received it
   --organisations  the callers belong to 40 organisations
   --paced      the work for a server is limited by how it answers, and is queued by latency objective
@@ -55,6 +56,7 @@
     bool relays = false;
     bool restored = false;
     bool synchronous = false;
+    bool crashes = false;
     bool organisations = false;
     bool paced = false;
 };
@@ -69,7 +71,7 @@
     options.organisations = run.organisations ? organisationCount : 0;
     options.pool.adaptivePacing = run.paced;
     options.pool.queueByObjective = run.paced;
-    return runRandomFaults(seed, std::move(options), {.restoredStore = run.restored});
+    return runRandomFaults(seed, std::move(options), {.restoredStore = run.restored, .crashWithRestart = run.crashes});
 }
 
 int runRandomSeeds(std::uint64_t from, std::uint64_t runs, const RunOptions &run)
@@ -130,6 +132,7 @@
     const RunOptions run{.relays = options.isGiven("--relays"),
                          .restored = options.isGiven("--restored"),
                          .synchronous = options.isGiven("--sync"),
+                         .crashes = options.isGiven("--crashes"),
                          .organisations = options.isGiven("--organisations"),
                          .paced = options.isGiven("--paced")};
     if (options.isGiven("trace"))
--- a/src/virtualpool/poolfaults.cpp
+++ b/src/virtualpool/poolfaults.cpp
@@ -3,6 +3,8 @@
 #include "virtualpool/poolchecker.h"
 
 #include <algorithm>
+#include <limits>
+#include <memory>
 #include <utility>
 
 namespace Jujubekeel {
@@ -39,6 +41,47 @@
     });
 }
 
+/// A replica receives nothing and another one is too busy to tell its position. Meanwhile the primary crashes and an
+/// instance restarts.
+void scheduleCrash(VirtualPool &pool, SeededRandom &random)
+{
+    const auto draw = [&](std::uint64_t from, std::uint64_t below) {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
+    };
+    const Duration start = draw(0, 7000);
+    const Duration crash = start + draw(50, 3000);
+    const Duration restart = crash + draw(20, 1500);
+    const Duration end = crash + draw(500, 6000);
+    const std::size_t instance = random.below(pool.instanceCount());
+    const std::size_t behind = 1 + random.below(2);
+    struct Roles
+    {
+        std::size_t primary = 0;
+        std::size_t behind = 0;
+        std::size_t busy = 0;
+    };
+    const auto roles = std::make_shared<Roles>();
+    pool.at(start, [&pool, roles, behind] {
+        roles->primary = pool.group().history().promotions.back().server;
+        roles->behind = (roles->primary + behind) % pool.group().size();
+        roles->busy = (roles->primary + pool.group().size() - behind) % pool.group().size();
+        pool.note("replica behind server=" + std::to_string(roles->behind));
+        pool.group().setReplicationIsolated(roles->behind, true);
+    });
+    pool.at(crash, [&pool, roles, instance] {
+        pool.note("crash server=" + std::to_string(roles->primary) + " instance=" + std::to_string(instance));
+        pool.group().setBusyStatuses(roles->busy, std::numeric_limits<std::uint32_t>::max());
+        pool.killInstance(instance);
+        pool.stopServer(roles->primary);
+    });
+    pool.at(restart, [&pool, instance] { pool.startInstance(instance); });
+    pool.at(end, [&pool, roles] {
+        pool.group().setBusyStatuses(roles->busy, 0);
+        pool.group().setReplicationIsolated(roles->behind, false);
+        pool.startServer(roles->primary);
+    });
+}
+
 } // namespace
 
 void applyRandomFault(VirtualPool &pool, SeededRandom &random)
@@ -146,6 +189,10 @@
         for (std::uint64_t count = 1 + random.below(2); count > 0; --count)
             scheduleRestoration(pool, random);
     }
+    if (faultOptions.crashWithRestart) {
+        for (std::uint64_t count = 1 + random.below(2); count > 0; --count)
+            scheduleCrash(pool, random);
+    }
     pool.run(runTime);
 
     std::vector<std::string> violations = findViolations(pool.group(), workload);
--- a/src/virtualpool/poolfaults.h
+++ b/src/virtualpool/poolfaults.h
@@ -18,6 +18,8 @@
 struct PoolFaultOptions
 {
     bool restoredStore = false; ///< the store returns from an older copy, once or twice
+    /// Once or twice the primary crashes and an instance restarts, while one replica is behind and the other one busy.
+    bool crashWithRestart = false;
 };
 
 /// Result of one run under load.
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -555,6 +555,14 @@
     EXPECT_EQ(joined(runRandomFaults(GetParam(), options).violations), "");
 }
 
+// Guards against a commit being lost with the memory of a restarted instance, beside other faults.
+TEST_P(SynchronousFaults, KeepCommitsOfRestartedInstances)
+{
+    VirtualPoolOptions options;
+    options.group.syncReplicas = 1;
+    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, {.crashWithRestart = true}).violations), "");
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousFaults, testing::Range<std::uint64_t>(1, 41));
 
 } // namespace
