Leadership: the members' service takes part in no search for a primary

What callers would see: in a fleet with relaying instances a recovery after a restored store never ended, so that each instance that started later waited for 2.5 s and each replacement for the leases; the members were asked for replication positions.

Cause: the members are listed as servers of a service without a name.

Change: PoolWorld::forEachDatabase() leaves that service out; used by all loops of the leadership module.

--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -28,7 +28,7 @@
 {
     if (this->world.role == FleetRole::Member && this->nextCheck <= this->world.now)
         this->scheduleCheck();
-    this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->refresh(id); });
+    this->world.forEachDatabase([this](ServiceId id, ServiceRow &) { this->refresh(id); });
     this->registration.publish();
 }
 
@@ -40,7 +40,7 @@
 
 void LeadershipSystem::serversChanged()
 {
-    this->world.services.forEach([this](ServiceId id, ServiceRow &) { this->refresh(id); });
+    this->world.forEachDatabase([this](ServiceId id, ServiceRow &) { this->refresh(id); });
 }
 
 void LeadershipSystem::refresh(ServiceId id)
@@ -278,7 +278,7 @@
         return;
     this->scheduleCheck();
     std::vector<ServiceId> all;
-    this->world.services.forEach([&](ServiceId id, ServiceRow &) { all.push_back(id); });
+    this->world.forEachDatabase([&](ServiceId id, ServiceRow &) { all.push_back(id); });
     for (const ServiceId id : all) {
         this->releaseIfIdle(id);
         this->checkView(id);
--- a/src/leadership/recoverysystem.cpp
+++ b/src/leadership/recoverysystem.cpp
@@ -43,7 +43,7 @@
         return;
     // Instances that have started since cannot tell a primary that was never replaced from one whose replacement the
     // store has lost.
-    this->world.services.forEach([&](ServiceId, const ServiceRow &service) {
+    this->world.forEachDatabase([&](ServiceId, const ServiceRow &service) {
         const bool isCertain = !service.changing && this->world.isLeadershipVerified(service);
         if (isCertain && !service.primaryId.empty() && view.record(service.name) == nullptr)
             confirm(service.name, 0,
@@ -55,7 +55,7 @@
 {
     const FleetView &view = this->registration.fleet();
     bool confirmed = true;
-    this->world.services.forEach([&](ServiceId, const ServiceRow &service) {
+    this->world.forEachDatabase([&](ServiceId, const ServiceRow &service) {
         const FleetView::Record *known = view.record(service.name);
         confirmed =
             confirmed && (service.servers.empty() || (known != nullptr && known->record.era == view.version().era));
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -51,7 +51,7 @@
     std::vector<std::pair<ServiceId, bool>> due;
     std::vector<ServiceId> unfinished;
     std::vector<ServiceId> unknown;
-    this->world.services.forEach([&](ServiceId id, ServiceRow &service) {
+    this->world.forEachDatabase([&](ServiceId id, ServiceRow &service) {
         if (this->replacements.contains(id))
             return;
         const FleetView::Record *known = this->registration.fleet().record(service.name);
--- a/src/pool/poolworld.h
+++ b/src/pool/poolworld.h
@@ -99,6 +99,15 @@
     {
         return this->routes ? this->routes->syncReplicas(service) : 0;
     }
+    /// Visits the services of backend servers. The members' service, which has no primary, is not one of them.
+    template <typename Visitor>
+    void forEachDatabase(Visitor visitor)
+    {
+        this->services.forEach([&](ServiceId id, ServiceRow &service) {
+            if (id != this->relayService)
+                visitor(id, service);
+        });
+    }
     [[nodiscard]] std::uint64_t takeCall() { return this->nextCall++; }
     template <typename Action>
     void emit(Action action)
--- a/tests/pool/restoredstoretest.cpp
+++ b/tests/pool/restoredstoretest.cpp
@@ -443,6 +443,28 @@
     EXPECT_EQ(forgotten.leader(), forgotten.successor);
 }
 
+// Guards against a recovery that never ends where members are listed as servers of a service without a name: nobody can
+// confirm who leads it.
+TEST(RestoredStore, RecoveryEndsInAFleetWithRelayingInstances)
+{
+    VirtualPool pool(largeFleetOptions(1));
+    pool.run(seconds(5));
+    pool.store().takeCopy();
+    pool.setStoreAvailable(false);
+    for (std::size_t instance = 0; instance < pool.instanceCount(); ++instance)
+        pool.killInstance(instance);
+    pool.run(milliseconds(500));
+    pool.returnStoreFromCopy();
+    for (std::size_t instance = 0; instance < pool.instanceCount(); ++instance)
+        pool.startInstance(instance);
+    pool.run(seconds(12));
+    const auto marker = pool.store().list(FleetView::recoveryName).objects;
+    ASSERT_EQ(marker.size(), 1U);
+    EXPECT_EQ(marker.front().content, FleetView::recoveryText(pool.store().currentEra()));
+    EXPECT_EQ(pool.store().list("leader.").objects.size(), 1U) << "one database, no record of the members' service";
+    EXPECT_EQ(pool.promotions(), 0U);
+}
+
 // Guards against a restarted instance holding up its service although others remember who leads: they write it again.
 TEST(RestoredStore, RestartedInstanceLearnsTheLeadershipFromOthers)
 {
