FleetView: a member that is missing in a list has left

Cause: only a deletion that a watch shows counted as a member that has left, and with it what it acknowledged. A member that is missing in a list, or is dropped with an earlier era, did not, if the list came within 2 s.

Change: all rows are removed by one function, which records the version unless the member was evicted.

Test: FleetView.MemberThatLeavesIsRecorded (its second expectation needs this change; not run on the code of before).

--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -63,12 +63,12 @@
     // An instance that learns of the era only after its recovery adopts what the fleet has agreed on since.
     if (entersEra && this->isEraRecovered()) {
         this->recordRows.clear();
-        this->memberRows.clear();
+        this->removeMembers([](const std::string &, const Member &) { return true; });
     }
     if (update.complete)
         this->removeMissing(update);
     else if (this->isEraRecovered())
-        std::erase_if(this->memberRows, [&](const auto &row) { return row.second.version.era < version.era; });
+        this->removeMembers([&](const std::string &, const Member &row) { return row.version.era < version.era; });
     for (const FleetObject &object : update.objects)
         this->applyObject(object, version.era, now);
     return true;
@@ -157,9 +157,22 @@
     }
     std::erase_if(this->recordRows,
                   [&](const auto &row) { return !row.second.lost && !present.contains(recordName(row.first)); });
+    this->removeMembers([&](const std::string &instance, const Member &row) {
+        const bool remembered = row.version.era != era && !this->isEraRecovered();
+        return !remembered && !present.contains(memberName(instance));
+    });
+}
+
+template <typename Condition>
+void FleetView::removeMembers(Condition condition)
+{
     std::erase_if(this->memberRows, [&](const auto &row) {
-        const bool remembered = row.second.version.era != era && !this->isEraRecovered();
-        return !remembered && !present.contains(memberName(row.first));
+        if (!condition(row.first, row.second))
+            return false;
+        // An evicted member has acknowledged nothing since.
+        if (!row.second.record.isEvicted())
+            this->lostMemberVersion = this->knownVersion;
+        return true;
     });
 }
 
@@ -177,12 +190,8 @@
     } else if (name.starts_with(memberPrefix)) {
         const std::string instance(name.substr(memberPrefix.size()));
         auto record = MemberRecord::fromText(object.content);
-        // An evicted member has acknowledged nothing since.
-        const Member *known = this->member(instance);
-        if (object.deleted && known != nullptr && !known->record.isEvicted())
-            this->lostMemberVersion = version;
         if (object.deleted)
-            this->memberRows.erase(instance);
+            this->removeMembers([&](const std::string &member, const Member &) { return member == instance; });
         else if (record && this->memberRows[instance].version < version)
             this->memberRows[instance] = Member{.record = *record, .version = version, .seenAt = now};
     }
--- a/src/leadership/fleetview.h
+++ b/src/leadership/fleetview.h
@@ -81,6 +81,9 @@
     void applyObject(const FleetObject &object, std::uint64_t era, TimePoint now);
     bool applyReported(const FleetUpdate &update, TimePoint now);
     void removeMissing(const FleetUpdate &update);
+    /// Removes the members for which \a condition is true of the instance and its row.
+    template <typename Condition>
+    void removeMembers(Condition condition);
     void enterEra(TimePoint now);
     void applyMarker(const FleetObject &object);
     void applyRecord(const std::string &service, const LeadershipRecord &record, StoreVersion version, TimePoint now);
@@ -89,7 +92,7 @@
     std::map<std::string, Member, std::less<>> memberRows; ///< by instance
     StoreVersion knownVersion;
     StoreVersion lostMemberVersion;
-    TimePoint viewedAt{0}; ///< the view reflects the store at this time or later
+    TimePoint viewedAt{0};        ///< the view reflects the store at this time or later
     StoreVersion reportedVersion; ///< of the last report of a member
     TimePoint eraFirstSeen{0};
     bool hasEarlierEra = false;
--- a/tests/leadership/fleetviewtest.cpp
+++ b/tests/leadership/fleetviewtest.cpp
@@ -96,6 +96,29 @@
     EXPECT_EQ(view.member("i1"), nullptr);
 }
 
+// Guards against a member that has left being forgotten, and what it acknowledged with it: the view shows since when the
+// members cannot know all commits.
+TEST(FleetView, MemberThatLeavesIsRecorded)
+{
+    FleetView view;
+    const auto list = [&](std::uint64_t revision, std::vector<FleetObject> objects, Duration at) {
+        view.apply({.complete = true, .objects = std::move(objects), .revision = revision, .era = 1, .requestedAt = at},
+                   at);
+    };
+    const FleetObject first = makeMemberObject(5, "i1", 1);
+    const FleetObject second = makeMemberObject(6, "i2", 1);
+    list(6, {first, second}, milliseconds(1));
+    list(7, {first, second}, milliseconds(500));
+    EXPECT_EQ(view.memberLostAt(), StoreVersion{}) << "no member is missing";
+    list(9, {first}, milliseconds(900));
+    EXPECT_EQ(view.memberLostAt(), (StoreVersion{.era = 1, .revision = 9})) << "missing in a list";
+    view.apply({.objects = {{.name = first.name, .revision = 12, .deleted = true}}, .revision = 12, .era = 1},
+               milliseconds(1000));
+    EXPECT_EQ(view.memberLostAt(), (StoreVersion{.era = 1, .revision = 12})) << "removed";
+    list(20, {}, std::chrono::seconds(9));
+    EXPECT_EQ(view.memberLostAt(), (StoreVersion{.era = 1, .revision = 20})) << "others may have come and gone";
+}
+
 // Guards against changes of another era being added to a view that lacks the changes before them.
 TEST(FleetView, ChangesOfAnotherEraNeedACompleteList)
 {
