Replacement: three refinements found by reading the change

- A planned replacement does not begin if all other servers leave as well: it would interrupt the primary for 1.5 s every 3.5 s and could not succeed.
- A search for a primary ends if the first primary registers meanwhile.
- Servers that are unreachable are awaited for 4 s from the start of the replacement, the wait for releases included, and not from the choice, so that a service is not without a primary for longer than needed after a restoration of the store.

Tests: Replacement.LeavingPrimaryServesOnIfAllOthersLeave is new (not run on the code of before); Feed.*, Replacement.* and RestoredStore.* 46 of 46, leadershiptest 19 of 19.

--- a/src/leadership/candidatechoice.cpp
+++ b/src/leadership/candidatechoice.cpp
@@ -48,9 +48,11 @@
     // A choice would give up what others have committed since. Servers that have ended are no longer listed after a
     // while.
     if (lacksNewestTerm(best)) {
+        const bool isAbsenceFinal =
+            conditions.waited >= conditions.evidenceWait && conditions.elapsed >= conditions.absentWait;
         return anyOf([&](const CandidateState &other) {
             const bool isExpected = !other.isUnreachable && !other.isRefused;
-            return !other.status && (isExpected || conditions.waited < conditions.absentWait);
+            return !other.status && (isExpected || !isAbsenceFinal);
         });
     }
     if (conditions.waited < conditions.statusWait)
--- a/src/leadership/candidatechoice.h
+++ b/src/leadership/candidatechoice.h
@@ -34,9 +34,10 @@
     LogPosition seen;               ///< end of the old primary's log as instances have seen it; 0: not known
     bool seenByAll = false;         ///< `seen` covers every commit that an instance has acknowledged
     Duration waited{0};             ///< since the candidates were first asked
+    Duration elapsed{0};            ///< since the replacement began
     Duration statusWait{0};         ///< without a reason to wait longer, for the answers of all candidates
     Duration evidenceWait{0};       ///< the same if an answer that is expected may save acknowledged commits
-    /// The same for servers that are unreachable, if all that have answered follow an earlier term.
+    /// Since the replacement began: time for servers that are unreachable, if all that have answered follow an earlier term.
     Duration absentWait{0};
 };
 
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -67,10 +67,9 @@
             return;
         const bool own = known != nullptr && known->record.holder == this->world.options.instance;
         bool planned = false;
-        const bool hasCandidate = service.servers.size() > (service.primary.isValid() ? 1 : 0);
         if (own && known->record.changing)
             unfinished.push_back(id);
-        else if (hasCandidate && this->leadership.shouldReplace(id, planned))
+        else if (this->leadership.shouldReplace(id, planned) && this->hasCandidate(service, planned))
             due.emplace_back(id, planned);
     });
     for (const ServiceId id : unfinished)
@@ -81,6 +80,14 @@
         this->findPrimary(id);
 }
 
+bool ReplacementSystem::hasCandidate(const ServiceRow &service, bool planned) const
+{
+    // A server that leaves too is no reason to interrupt the work of a primary that serves.
+    return std::any_of(service.servers.begin(), service.servers.end(), [&](ServerId server) {
+        return server != service.primary && !(planned && this->world.servers.at(server).entry.draining);
+    });
+}
+
 void ReplacementSystem::resume(ServiceId id)
 {
     // This instance announced the replacement, but the answer to the write was lost or the process has been restarted.
@@ -220,13 +227,12 @@
         } else if (succeeded && replacement.step == Step::Declare) {
             replacement.expectedRevision = outcome.revision;
             this->enter(replacement, Step::Promote);
-        } else if (succeeded && replacement.step == Step::Abandon) {
-            this->replacements.erase(id);
         } else if (succeeded) {
-            this->world.log(LogLevel::Info, "replacement-finished",
-                            {{"service", this->world.services.at(id).name},
-                             {"primary", replacement.record.candidate},
-                             {"tookMs", std::to_string((this->world.now - replacement.startedAt).count() / 1000)}});
+            if (replacement.step == Step::Record)
+                this->world.log(LogLevel::Info, "replacement-finished",
+                                {{"service", this->world.services.at(id).name},
+                                 {"primary", replacement.record.candidate},
+                                 {"tookMs", std::to_string((this->world.now - replacement.startedAt).count() / 1000)}});
             this->replacements.erase(id);
         } else {
             replacement.retryAt = this->world.now + this->options.callRetryDelay;
@@ -288,8 +294,7 @@
     case Step::Announce:
         return false;
     case Step::Examine:
-        this->examine(id, replacement);
-        return true;
+        return this->examine(id, replacement);
     case Step::AwaitRelease:
         // The view of the members must be at least as recent as the announcement.
         if (this->registration.fleet().version() < replacement.announced || !this->allReleased(service, replacement))
@@ -335,15 +340,18 @@
     return true;
 }
 
-void ReplacementSystem::examine(ServiceId id, Replacement &replacement)
+bool ReplacementSystem::examine(ServiceId id, Replacement &replacement)
 {
     const ServiceRow &service = this->world.services.at(id);
+    // The first primary has registered after all.
+    if (this->registration.isLeadershipKnown(service.name) && !service.primaryId.empty())
+        return false;
     const std::vector<CandidateState> candidates = this->collectCandidates(service, replacement);
     this->requestStatuses(service, replacement, candidates);
     const bool allAnswered =
         std::all_of(candidates.begin(), candidates.end(), [](const auto &candidate) { return candidate.status; });
     if (!allAnswered && this->world.now - replacement.stepAt < this->options.evidenceWait)
-        return;
+        return true;
     // A server that leads the newest term of all replaced the others. One that does not answer may lead a newer term.
     const auto leads = [](const CandidateState &candidate) { return candidate.hasTakenOver; };
     const auto leader = std::find_if(candidates.begin(), candidates.end(), leads);
@@ -357,10 +365,11 @@
         replacement.record.term = leader->status->term;
         this->enter(replacement, Step::Record);
         this->writeResult(id, replacement);
-        return;
+        return true;
     }
     this->enter(replacement, Step::Announce);
     this->writeRecord(id, replacement, replacement.record);
+    return true;
 }
 
 void ReplacementSystem::announceAgain(ServiceId id, Replacement &replacement)
@@ -566,6 +575,7 @@
                                    .seen = service.primarySeen,
                                    .seenByAll = this->registration.knowsAllCommits(replacement.record.primarySince),
                                    .waited = this->world.now - replacement.stepAt,
+                                   .elapsed = this->world.now - replacement.startedAt,
                                    .statusWait = this->options.statusWait,
                                    .evidenceWait = this->options.evidenceWait,
                                    .absentWait = this->options.absentWait};
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -85,8 +85,10 @@
     [[nodiscard]] Replacement prepare(const ServiceRow &service, std::string_view primary) const;
     /// Asks the servers which of them leads, and records it. If they do not tell, one is promoted.
     void findPrimary(ServiceId service);
-    void examine(ServiceId service, Replacement &replacement);
+    /// Returns false if the first primary has registered meanwhile.
+    bool examine(ServiceId service, Replacement &replacement);
     void begin(ServiceId service, bool planned);
+    [[nodiscard]] bool hasCandidate(const ServiceRow &service, bool planned) const;
     void resume(ServiceId service);
     void enter(Replacement &replacement, Step step);
     /// Has the replacements advanced after \a delay, unless that happens earlier.
--- a/tests/leadership/candidatechoicetest.cpp
+++ b/tests/leadership/candidatechoicetest.cpp
@@ -32,6 +32,7 @@
 {
     return CandidateConditions{.syncReplicas = syncReplicas,
                                .waited = waited,
+                               .elapsed = waited,
                                .statusWait = milliseconds(350),
                                .evidenceWait = milliseconds(1500),
                                .absentWait = milliseconds(4000)};
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -507,6 +507,19 @@
     EXPECT_EQ(pool.promotions(), 1U);
 }
 
+// Guards against interruptions of a primary that leaves, for replacements that cannot succeed because all others leave too.
+TEST(Replacement, LeavingPrimaryServesOnIfAllOthersLeave)
+{
+    LoadedPool run;
+    run.pool.run(seconds(1));
+    run.pool.setDraining(1);
+    run.pool.setDraining(2);
+    run.pool.setDraining(0);
+    run.pool.run(seconds(5));
+    EXPECT_EQ(run.pool.countLogs("replacement-started"), 0U);
+    run.finish();
+}
+
 // Guards against a premature promotion at the first start of a fleet, where the first primary registers later than the
 // replicas.
 TEST(Replacement, FirstPrimaryThatRegistersLateIsAwaited)
