Replacement: steps follow each other at once, status requests are paced

Change: entering a step advances at once; stepInterval is 10 ms and also the least time between two such requests to a server.

--- a/src/leadership/leadershipoptions.h
+++ b/src/leadership/leadershipoptions.h
@@ -39,7 +39,9 @@
     Duration catchUpWait = std::chrono::milliseconds(1500);
     /// From an abandoned planned replacement to the next attempt, in which the primary serves.
     Duration plannedRetryDelay = std::chrono::milliseconds(2000);
-    Duration stepInterval = std::chrono::milliseconds(25);    ///< time between two checks of a replacement in progress
+    /// Time between two checks of a replacement in progress, and between two status requests to a server whose answer ends
+    /// a step.
+    Duration stepInterval = std::chrono::milliseconds(10);
     Duration callRetryDelay = std::chrono::milliseconds(200); ///< before an unanswered call is repeated
     /// Time in which a candidate must report that it is primary after the platform accepted its promotion.
     Duration promotionTimeout = std::chrono::milliseconds(4000);
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -184,6 +184,7 @@
     replacement.statuses.clear();
     replacement.statusReceivedAt.clear();
     replacement.waitLoggedAt = TimePoint{0};
+    this->scheduleAdvance(Duration{0});
 }
 
 void ReplacementSystem::scheduleAdvance(Duration delay)
@@ -328,7 +329,7 @@
             this->writeResult(id, replacement);
         } else if (this->world.now - replacement.stepAt > this->options.promotionTimeout) {
             this->announceAgain(id, replacement);
-        } else {
+        } else if (!this->isStatusCurrent(replacement, replacement.record.candidate, this->options.stepInterval)) {
             this->requestStatus(replacement, replacement.record.candidate);
         }
         return true;
@@ -648,6 +649,13 @@
     this->writeRecord(id, replacement, record);
 }
 
+bool ReplacementSystem::isStatusCurrent(const Replacement &replacement, const std::string &server,
+                                        Duration maxAge) const
+{
+    const auto received = replacement.statusReceivedAt.find(server);
+    return received != replacement.statusReceivedAt.end() && this->world.now - received->second < maxAge;
+}
+
 void ReplacementSystem::requestStatuses(const ServiceRow &service, Replacement &replacement,
                                         std::span<const CandidateState> candidates)
 {
@@ -658,9 +666,7 @@
     // A candidate may have received more, or be primary, since it answered.
     const Duration refresh = isPlanned ? this->options.stepInterval : this->options.statusRefresh;
     for (const CandidateState &candidate : candidates) {
-        const bool isCurrent =
-            candidate.status && this->world.now - replacement.statusReceivedAt[candidate.id] < refresh;
-        if (!isCurrent && !candidate.isRefused)
+        if (!candidate.isRefused && !this->isStatusCurrent(replacement, candidate.id, refresh))
             this->requestStatus(replacement, candidate.id);
     }
 }
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -126,6 +126,8 @@
     void abandon(ServiceId service, Replacement &replacement, std::span<const CandidateState> candidates);
     /// Writes the abandoned replacement to the record.
     void writeAbandonment(ServiceId service, Replacement &replacement);
+    [[nodiscard]] bool isStatusCurrent(const Replacement &replacement, const std::string &server,
+                                       Duration maxAge) const;
     /// Asks for the log positions that a choice needs, again after LeadershipOptions::statusRefresh.
     void requestStatuses(const ServiceRow &service, Replacement &replacement,
                          std::span<const CandidateState> candidates);
