--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -2,6 +2,8 @@
 #include "virtualpool/poolfaults.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <set>
 #include <string>
 #include <vector>
@@ -433,7 +435,7 @@
         FormerPrimary former(seed);
         ASSERT_NE(former.successor, 0U);
         VirtualPool &pool = former.run.pool;
-        pool.group().setBusyStatuses(former.replica, 1000);
+        pool.group().setBusyStatuses(former.replica, std::numeric_limits<std::uint32_t>::max());
         pool.at(seconds(4), [&] { pool.group().setBusyStatuses(former.replica, 0); });
         pool.stopServer(former.successor);
         EXPECT_EQ(former.run.finish(), "");
@@ -572,7 +574,7 @@
         this->pool.run(milliseconds(500));
         this->pool.group().setReplicationIsolated(1, true);
         EXPECT_FALSE(this->write(writer, "kept").error);
-        this->pool.group().setBusyStatuses(2, 1000);
+        this->pool.group().setBusyStatuses(2, std::numeric_limits<std::uint32_t>::max());
         if (cause == Cause::Killed) {
             this->pool.killInstance(writer);
             this->pool.at(milliseconds(200), [this, writer] { this->pool.startInstance(writer); });
