Replacement: with synchronous replicas the longest log of a term is chosen

What callers would see: with SyncReplicas a service without a primary until an operator acts, if the longest log is that of a server which follows an earlier term than another one whose log ends in the same term.

The other server was the best, and was refused because a longer log exists.

Found by reading the diff.

--- a/src/leadership/candidatechoice.cpp
+++ b/src/leadership/candidatechoice.cpp
@@ -29,6 +29,35 @@
     return answered + conditions.syncReplicas > candidates.size() + conditions.departed;
 }
 
+template <typename Rank>
+const CandidateState *findBest(std::span<const CandidateState> candidates, bool withDraining, Rank rank)
+{
+    const CandidateState *best = nullptr;
+    for (const CandidateState &candidate : candidates) {
+        const bool eligible = candidate.status && (withDraining || !candidate.isDraining);
+        if (eligible && (best == nullptr || rank(*best) < rank(candidate)))
+            best = &candidate;
+    }
+    return best;
+}
+
+/// With synchronous replicas. Of logs that end in one term the longest holds what was acknowledged, also if its server
+/// follows an earlier primary: the others may not have received all that their primary holds.
+const CandidateState *chooseSafeCandidate(std::span<const CandidateState> candidates,
+                                          const CandidateConditions &conditions)
+{
+    const auto rank = [](const CandidateState &candidate) {
+        return std::tuple(candidate.hasTakenOver, !candidate.isStalePrimary, candidate.status->received);
+    };
+    // A draining server may be the only one that holds all commits.
+    for (const bool withDraining : {false, true}) {
+        const CandidateState *best = findBest(candidates, withDraining, rank);
+        if (best != nullptr && holdsAllCommits(candidates, *best, conditions))
+            return best;
+    }
+    return nullptr;
+}
+
 bool lacksNewestTerm(const CandidateState &candidate)
 {
     return candidate.isStalePrimary || candidate.isOutdated;
@@ -70,32 +99,20 @@
 
 const CandidateState *bestCandidate(std::span<const CandidateState> candidates, bool withDraining)
 {
-    const auto rank = [](const CandidateState &candidate) {
+    return findBest(candidates, withDraining, [](const CandidateState &candidate) {
         // The log with the later last entry wins. Of logs that end in one term, that of the server which follows the
         // later primary contains nothing that was rolled back.
         const ReplicationStatus &status = *candidate.status;
         return std::tuple(candidate.hasTakenOver, !candidate.isStalePrimary, status.received.term, status.term,
                           status.received.position);
-    };
-    const CandidateState *best = nullptr;
-    for (const CandidateState &candidate : candidates) {
-        const bool eligible = candidate.status && (withDraining || !candidate.isDraining);
-        if (eligible && (best == nullptr || rank(*best) < rank(candidate)))
-            best = &candidate;
-    }
-    return best;
+    });
 }
 
 const CandidateState *chooseCandidate(std::span<const CandidateState> candidates, const CandidateConditions &conditions)
 {
+    if (conditions.syncReplicas > 0)
+        return chooseSafeCandidate(candidates, conditions);
     const CandidateState *best = bestCandidate(candidates, false);
-    if (conditions.syncReplicas > 0) {
-        if (best != nullptr && holdsAllCommits(candidates, *best, conditions))
-            return best;
-        // A draining server may be the only one that holds all commits.
-        best = bestCandidate(candidates, true);
-        return best != nullptr && holdsAllCommits(candidates, *best, conditions) ? best : nullptr;
-    }
     // A server that leaves is better than one that lacks what was committed in the newest term.
     if (best == nullptr || lacksNewestTerm(*best)) {
         const CandidateState *any = bestCandidate(candidates, true);
--- a/tests/leadership/candidatechoicetest.cpp
+++ b/tests/leadership/candidatechoicetest.cpp
@@ -137,6 +137,17 @@
     EXPECT_EQ(chosen({longer, later}, conditions(0, milliseconds(0))), "n");
 }
 
+// Guards against a choice that never ends with synchronous replicas: the longest log holds what was acknowledged, but its
+// server follows an earlier term, and the other one does not hold it.
+TEST(CandidateChoice, LongestLogIsSafeWithSynchronousReplicas)
+{
+    CandidateState longer = answered("l", 12);
+    longer.status->term = 2;
+    longer.isOutdated = true;
+    EXPECT_EQ(chosen({longer, answered("a", 9)}, conditions(1, milliseconds(0))), "l");
+    EXPECT_EQ(chosen({longer, silent("a")}, conditions(1, std::chrono::hours(1))), "");
+}
+
 // Guards against a planned replacement by a server that lacks what the primary has acknowledged, or has what was rolled
 // back.
 TEST(CandidateChoice, OnlyTheWholeLogHasCaughtUp)
