--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -656,6 +656,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousFaults, testing::Range<std::uint64_t>(1, 41));
+INSTANTIATE_TEST_SUITE_P(RegressionSeeds, SynchronousFaults,
+                         testing::Values<std::uint64_t>(10021, 10328, 10473, 10494, 10783, 10851));
 
 } // namespace
 
