--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,16 +5,12 @@
 # shellcheck source=review/standin-3/case.sh
 . "$here/../standin-3/case.sh"
 
-fault() {
-    post /fault "$1" >/dev/null || finish 2 "the fault was not set"
-}
-
 start_platform 1
 for number in 1 2 3 4; do
     start_entry "$number"
 done
 for number in 1 2 3 4; do
-    launch "writers$number" "$work/writers$number.events" "$client" "$network.1$number:7200" orders write "w$number-" 2 26
+    launch "writers$number" "$work/writers$number.events" "$client" "$network.1$number:7200" orders caller write "w$number-" 2 26
 done
 await 10 grep -q ' done w4-1 ' "$work/writers4.events" || finish 2 "the writers were not served"
 sleep 2
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -8,11 +8,11 @@
 start_entry 1
 stopped=$last_pid
 start_entry 2
-launch fill "$work/fill.events" "$client" "$network.11:7200" orders fill fill 1 20 700000
+launch fill "$work/fill.events" "$client" "$network.11:7200" orders caller fill fill 1 20 700000
 await 25 grep -q ' done fill1 ' "$work/fill.events" || finish 2 "the large item was not written"
 sleep 2
 
-launch readers "$work/readers.events" "$client" "$network.11:7200" lookups read r 4 12 0 1250000
+launch readers "$work/readers.events" "$client" "$network.11:7200" lookups caller read r 4 12 0 1250000
 await 10 grep -q ' done r4 ' "$work/readers.events" || finish 2 "the readers were not served"
 sleep 1
 ended=0
--- a/review/standin-3/case.sh
+++ b/review/standin-3/case.sh
@@ -16,10 +16,10 @@
 finish() {
     local pid
     for pid in "${pids[@]}"; do
+        disown "$pid" 2>/dev/null
         kill -CONT "$pid" 2>/dev/null
         kill -KILL "$pid" 2>/dev/null
     done
-    wait 2>/dev/null
     cat "$work"/*.events 2>/dev/null | sort -s -n -k1,1 >>"$record"
     echo "result $1: $2" | tee -a "$record"
     [ -n "${KEEP:-}" ] && cp -r "$work" "$KEEP"
@@ -52,18 +52,24 @@
     done
 }
 
+# fault JSON: sets a fault of the stand-in.
+fault() {
+    post /fault "$1" >/dev/null || finish 2 "the fault was not set"
+}
+
 post() {
     curl -sf -X POST -H 'Content-Type: application/json' --data-binary "$2" "http://$store$1"
 }
 
-# start_platform SYNC: the stand-in of the platform with three servers, and the first configuration.
+# start_platform SYNC [TENANTS]: the stand-in of the platform with three servers, and the first configuration, with the
+# given text of the list of tenants.
 start_platform() {
-    local sync=$1
+    local sync=$1 tenants=${2:+, \"Tenants\": $2}
     for program in "$entry" "$platform" "$client"; do
         [ -x "$program" ] || finish 2 "$program is not built"
     done
     : >"$record"
-    launch platform "$work/platform.events" "$platform" 6 "$network.1" "$network.2" "$network.3" "$network.4"
+    launch platform "$work/platform.events" "$platform" 8 "$network.1" "$network.2" "$network.3" "$network.4"
     await 10 curl -sf "http://$store/api/objects/servers" || finish 2 "the platform did not start"
     post /api/objects/config "{\"meta\": {\"Name\": \"main\"}, \"spec\": {\"Version\": 4, \"Routes\": [
         {\"Name\": \"r1\", \"Host\": \"orders\", \"PathPrefix\": \"/\", \"Service\": \"records\", \"Kind\": \"primary\",
@@ -71,7 +77,7 @@
         {\"Name\": \"r2\", \"Host\": \"lookups\", \"PathPrefix\": \"/\", \"Service\": \"records\",
          \"Kind\": \"bounded_stale\", \"TimeoutMs\": 2000, \"GoalMs\": 800, \"Priority\": 2, \"MaxStalenessMs\": 1500}],
         \"Services\": [{\"Name\": \"records\", \"MaxConns\": 21, \"SyncReplicas\": $sync}],
-        \"Limits\": {\"TxIdleMs\": 3000}}}" >/dev/null || finish 2 "the configuration was not accepted"
+        \"Limits\": {\"TxIdleMs\": 3000}$tenants}}" >/dev/null || finish 2 "the configuration was not accepted"
 }
 
 # start_entry NUMBER: an entry instance, with the command of the deploy file; waits until it is ready. Sets: last_pid.
@@ -91,7 +97,7 @@
 Bootstrap: ${bootstrap:-true}
 Limits: { CpuShare: 0.25, Cores: 1, MemoryMb: 260, MaxFds: 1000, LinkMbps: 1000.0, DiskMb: 0 }
 HeartbeatMs: 1200
-Contracts: ["base", "drain", "config", "cost", "recover", "sql", "platform"]
+Contracts: ["base", "drain", "config", "cost", "recover", "sql", "platform"${contracts:-}]
 Bounds: { StableWindowMs: 4000, DrainMs: 7000, GraceS: 6, LossSlackMs: 200, ConfigApplyMs: 3000, Fencing: false }
 platform: { Address: "$network.1:710$1", form: "objects", WritesPerS: 400, ReadsPerS: 2000, HistoryS: 20 }
 CloudApi: { Address: "$network.1:710$1", Duties: ["promotion"], DutyPerS: 50.0 }
--- a/review/standin-3/client.cpp
+++ b/review/standin-3/client.cpp
@@ -25,6 +25,7 @@
 {
     std::string address;
     std::string database;
+    std::string key;
     std::string kind; ///< "write": a new write each time; "fill": one large write; "read": reads of the large item
     int sessions = 1;
     std::int64_t seconds = 10;
@@ -76,7 +77,7 @@
         return;
     Stream stream(opened);
     std::string detail;
-    stream.write("CONNECT " + options.database + " caller\r\n");
+    stream.write("CONNECT " + options.database + ' ' + options.key + "\r\n");
     const auto greeting = stream.readLine();
     if (!greeting || !greeting->starts_with("READY"))
         return;
@@ -121,21 +122,23 @@
 
 int main(int argumentCount, char **arguments)
 {
-    if (argumentCount < 7) {
-        std::cerr << "usage: review3-client ADDRESS DATABASE write|fill|read NAME SESSIONS SECONDS [BYTES [RATE]]\n";
+    if (argumentCount < 8) {
+        std::cerr
+            << "usage: review3-client ADDRESS DATABASE KEY write|fill|read NAME SESSIONS SECONDS [BYTES [RATE]]\n";
         return 2;
     }
     const std::vector<std::string> words(arguments + 1, arguments + argumentCount);
     const Options options{.address = words[0],
                           .database = words[1],
-                          .kind = words[2],
-                          .sessions = std::min(std::stoi(words[4]), maxSessions),
-                          .seconds = std::min<std::int64_t>(std::stoll(words[5]), maxSeconds),
-                          .bytes = words.size() > 6 ? std::stoll(words[6]) : 0,
-                          .rate = words.size() > 7 ? std::stoll(words[7]) : 0};
+                          .key = words[2],
+                          .kind = words[3],
+                          .sessions = std::min(std::stoi(words[5]), maxSessions),
+                          .seconds = std::min<std::int64_t>(std::stoll(words[6]), maxSeconds),
+                          .bytes = words.size() > 7 ? std::stoll(words[7]) : 0,
+                          .rate = words.size() > 8 ? std::stoll(words[8]) : 0};
     std::vector<std::thread> threads;
     for (int session = 1; session <= options.sessions; ++session)
-        threads.emplace_back([&options, name = words[3] + std::to_string(session)] { runSession(options, name); });
+        threads.emplace_back([&options, name = words[4] + std::to_string(session)] { runSession(options, name); });
     for (std::thread &thread : threads)
         thread.join();
     return 0;
--- a/review/standin-3/platform.cpp
+++ b/review/standin-3/platform.cpp
@@ -6,6 +6,8 @@
 
 #include <sys/socket.h>
 
+#include <array>
+#include <atomic>
 #include <cstdio>
 #include <exception>
 #include <iostream>
@@ -139,10 +141,14 @@
         while (readRequest(stream, request)) {
             ObjectStore::Answer answer{.status = 400};
             try {
-                answer = this->handle(request);
+                if (!this->isAway[path])
+                    answer = this->handle(request);
             } catch (const std::exception &error) {
                 record("refused", error.what());
             }
+            // A watch that was waiting is cut off too.
+            if (this->isAway[path])
+                answer = {.status = 503};
             const std::string body = this->onPath(answer.body.dump(), path);
             const std::string head = "HTTP/1.1 " + std::to_string(answer.status)
                                      + " Answer\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: "
@@ -208,6 +214,11 @@
 
     void setFault(const Json &fault)
     {
+        if (fault.contains("away")) {
+            this->isAway.at(fault.at("instance").get<std::size_t>()) = fault.at("away").get<bool>();
+            record("fault", "store " + fault.dump());
+            return;
+        }
         const auto server = fault.at("server").get<std::size_t>();
         if (fault.contains("running"))
             this->group.setRunning(server, fault.at("running").get<bool>());
@@ -275,7 +286,10 @@
 
     static constexpr const char *service = "records";
 
+    static constexpr std::size_t maxPaths = 16;
+
     std::size_t paths = 1;
+    std::array<std::atomic<bool>, maxPaths> isAway{}; ///< the store turns this instance away
     ObjectStore store;
     ServerGroup group;
     std::vector<std::int64_t> heardAt; ///< last entry of each server
@@ -291,7 +305,8 @@
     }
     try {
         const std::vector<std::string> hosts(arguments + 3, arguments + argumentCount);
-        Platform platform({.service = "records", .hosts = hosts, .paths = std::stoul(arguments[1]) + 1});
+        Platform platform(
+            {.service = "records", .hosts = hosts, .paths = std::min(std::stoul(arguments[1]) + 1, 16UL)});
         platform.start(arguments[2]);
     } catch (const std::exception &error) {
         std::cerr << error.what() << '\n';
--- a/review/standin-3/servergroup.cpp
+++ b/review/standin-3/servergroup.cpp
@@ -155,7 +155,7 @@
         std::string reply;
         if (verb == "CONNECT") {
             const std::string_view service = takeWord(rest);
-            takeWord(rest);
+            session.name = std::string(takeWord(rest));
             greeted = service == this->options.service && (rest.empty() || rest == this->id(index));
             reply = greeted ? "READY I " + this->position(index, this->appliedCount(index)) + "\r\n"
                             : "ERROR MISROUTED " + this->id(index) + "\r\n";
@@ -258,7 +258,7 @@
         if (failed)
             return this->error(index, session, "ABORTED");
         if (session.writes.empty()) {
-            this->record("ran", this->id(index) + ' ' + std::string(id));
+            this->record("ran", this->id(index) + ' ' + session.name + ' ' + std::string(id));
             return this->success(index, session, id, {});
         }
         return this->commit(index, session, id, std::move(session.writes), lock);
@@ -268,7 +268,7 @@
         return this->error(index, session, "READONLY");
     const std::string item(takeWord(rest));
     if (verb == "READ") {
-        this->record("ran", this->id(index) + ' ' + std::string(id));
+        this->record("ran", this->id(index) + ' ' + session.name + ' ' + std::string(id));
         const std::size_t applied = this->appliedCount(index);
         std::string value = "-";
         for (std::size_t entry = 0; entry < applied; ++entry) {
@@ -280,7 +280,7 @@
     if (verb != "WRITE")
         return this->error(index, session, "MALFORMED");
     if (inTransaction) {
-        this->record("ran", this->id(index) + ' ' + std::string(id));
+        this->record("ran", this->id(index) + ' ' + session.name + ' ' + std::string(id));
         session.writes.emplace_back(item, std::string(rest));
         return this->success(index, session, id, {});
     }
@@ -295,7 +295,7 @@
     session.writes.clear();
     if (!server.primary)
         return this->error(index, session, "READONLY");
-    this->record("ran", this->id(index) + ' ' + std::string(id));
+    this->record("ran", this->id(index) + ' ' + session.name + ' ' + std::string(id));
     server.log.push_back(
         Entry{.term = server.term, .receivedAt = nowMs(), .statement = std::string(id), .writes = std::move(writes)});
     const std::size_t count = server.log.size();
--- a/review/standin-3/servergroup.h
+++ b/review/standin-3/servergroup.h
@@ -87,6 +87,7 @@
     };
     struct Session
     {
+        std::string name; ///< in whose name the connection was opened
         char state = 'I';
         bool readOnly = false;
         std::vector<std::pair<std::string, std::string>> writes;
