--- a/review/standin-3/platform.cpp
+++ b/review/standin-3/platform.cpp
@@ -26,8 +26,8 @@
 using Review::Stream;
 
 constexpr std::size_t firstPort = 7100;
-constexpr int heartbeatMs = 1200;
-constexpr int missedHeartbeats = 3;
+constexpr std::int64_t heartbeatMs = 1200;
+constexpr std::int64_t missedHeartbeats = 3;
 constexpr int entryCheckMs = 50;
 constexpr std::string_view objectsPath = "/api/objects/";
 
@@ -199,8 +199,7 @@
 
     void readConfiguration(const Json &spec)
     {
-        const Json &service = spec.at("Services").at(0);
-        this->group.setSyncReplicas(service.value("SyncReplicas", 0U));
+        this->group.setSyncReplicas(spec.at("Services").at(0).value("SyncReplicas", 0U));
     }
 
     ObjectStore::Answer promote(const Request &request)
@@ -226,6 +225,8 @@
             this->group.setStoreCut(server, fault.at("storeCut").get<bool>());
         if (fault.contains("path"))
             this->group.setPathCut(server, fault.at("path").get<std::size_t>(), fault.at("pathCut").get<bool>());
+        if (fault.contains("isolated"))
+            this->group.setIsolated(server, fault.at("isolated").get<bool>());
         if (fault.contains("deaf"))
             this->group.setDeaf(server, fault.at("deaf").get<bool>());
         record("fault", this->group.id(server) + ' ' + fault.dump());
--- a/review/standin-3/servergroup.cpp
+++ b/review/standin-3/servergroup.cpp
@@ -353,7 +353,7 @@
 void ServerGroup::receive(std::size_t from, std::size_t to, const std::vector<Entry> &entries, std::uint64_t term)
 {
     Server &target = this->servers[to];
-    if (!target.running || target.deaf || target.primary || target.term > term || from == to)
+    if (!target.running || target.deaf || target.primary || target.term > term || !this->reach(from, to))
         return;
     target.term = term;
     // Entries that the primary does not have are rolled back.
@@ -372,11 +372,16 @@
     this->changed.notify_all();
 }
 
+bool ServerGroup::reach(std::size_t one, std::size_t other) const
+{
+    return one != other && !this->servers[one].isolated && !this->servers[other].isolated;
+}
+
 void ServerGroup::follow(std::size_t index, std::size_t leader)
 {
     Server &server = this->servers[index];
     const Server &primary = this->servers[leader];
-    if (index == leader || !server.running || !primary.running || !primary.primary || server.deaf
+    if (!this->reach(index, leader) || !server.running || !primary.running || !primary.primary || server.deaf
         || server.term > primary.term || (server.primary && server.term == primary.term))
         return;
     server.primary = false;
@@ -478,4 +483,15 @@
     this->changed.notify_all();
 }
 
+void ServerGroup::setIsolated(std::size_t index, bool isolated)
+{
+    const std::scoped_lock lock(this->mutex);
+    this->servers[index].isolated = isolated;
+    for (std::size_t other = 0; other < this->servers.size() && !isolated; ++other) {
+        this->follow(other, index);
+        // A former primary goes on for a second after it can reach the new one.
+        this->later(this->servers[index].primary ? 1000 : 0, [this, index, other] { this->follow(index, other); });
+    }
+}
+
 } // namespace Review
--- a/review/standin-3/servergroup.h
+++ b/review/standin-3/servergroup.h
@@ -58,6 +58,8 @@
     void setPathCut(std::size_t server, std::size_t path, bool cut);
     /// Receives nothing from the primary.
     void setDeaf(std::size_t server, bool deaf);
+    /// Partitioned from the other servers.
+    void setIsolated(std::size_t server, bool isolated);
 
 private:
     struct Entry
@@ -79,6 +81,7 @@
         bool running = true;
         bool storeCut = false;
         bool deaf = false;
+        bool isolated = false;
         std::uint64_t term = 1;
         std::uint64_t heldTerm = 0;
         std::int64_t bornAt = 0;
@@ -119,6 +122,7 @@
                                       const std::string &rows);
     /// The entries up to \a count reach a replica.
     void receive(std::size_t from, std::size_t to, const std::vector<Entry> &entries, std::uint64_t term);
+    [[nodiscard]] bool reach(std::size_t one, std::size_t other) const;
     void follow(std::size_t server, std::size_t leader);
     void completePromotion(std::size_t server);
     void later(std::int64_t delayMs, std::function<void()> action);
