--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -2,6 +2,7 @@
 # A service with one synchronous replica. One replica is partitioned from the store and from one of four instances for
 # 5 s. The other replica receives nothing for 6 s, and the primary crashes meanwhile.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 # shellcheck source=review/standin-3/case.sh
 . "$here/../standin-3/case.sh"
 
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,6 +2,7 @@
 # A service with one synchronous replica. One replica receives nothing for 6 s. Meanwhile the primary is partitioned from
 # its replicas and from three of five instances, the other replica is promoted, and crashes before the cut ends.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 # shellcheck source=review/standin-3/case.sh
 . "$here/../standin-3/case.sh"
 
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -2,6 +2,7 @@
 # The store turns an instance away that grants a third of a tenant's operations. Meanwhile an instance is added that
 # takes its place, and the tenant sends several times its limit.
 here=$(cd "$(dirname "$0")" && pwd)
+trouble=${TROUBLE:-1} # 0: the same without the disruption
 # shellcheck source=review/standin-3/case.sh
 . "$here/../standin-3/case.sh"
 
--- a/review/standin-3/case.sh
+++ b/review/standin-3/case.sh
@@ -1,11 +1,10 @@
-# Functions of the scripts of review 3. Sourced by run.sh of a case, which sets: here (its folder).
+# Functions of the scripts of review 3. Sourced by run.sh of a case, which sets: here (its folder) and trouble.
 set -uo pipefail
 
 root=$(cd "$here/../.." && pwd)
 entry=$root/target/bin/jujubekeel-entry
 platform=$root/target/review-3/review3-platform
 client=$root/target/review-3/review3-client
-trouble=${TROUBLE:-1}
 record=$here/record.txt
 network="127.$((RANDOM % 200 + 20)).$((RANDOM % 250 + 1))"
 store="$network.1:7100"
