Choice of a primary: the result names its proof

chooseCandidate() and findCaughtUpCandidate() return the candidate and its proof; candidate-chosen and candidates-awaited show the proof, positions as term.number, and how many servers count as departed.

--- a/src/leadership/candidatechoice.cpp
+++ b/src/leadership/candidatechoice.cpp
@@ -7,26 +7,29 @@
 
 namespace {
 
-bool holdsAllCommits(std::span<const CandidateState> candidates, const CandidateState &best,
-                     const CandidateConditions &conditions)
+/// Proof that \a candidate, which has answered, holds every acknowledged commit; None if there is none.
+ChoiceProof findProof(std::span<const CandidateState> candidates, const CandidateState &candidate,
+                      const CandidateConditions &conditions)
 {
-    if (best.hasTakenOver)
-        return true;
-    if (best.isStalePrimary)
-        return false;
-    const LogPosition received = best.status->received;
-    if (!best.isOutdated && conditions.seenByAll && conditions.seen != LogPosition{} && received >= conditions.seen)
-        return true;
+    if (candidate.hasTakenOver)
+        return ChoiceProof::TakenOver;
+    if (candidate.isStalePrimary)
+        return ChoiceProof::None;
+    const LogPosition received = candidate.status->received;
+    if (!candidate.isOutdated && conditions.seenByAll && conditions.seen != LogPosition{}
+        && received >= conditions.seen)
+        return ChoiceProof::LogEnd;
     // Of any set of servers that leaves out fewer than the synchronous replicas one holds each acknowledged commit.
     std::size_t answered = 0;
-    for (const CandidateState &candidate : candidates) {
-        if (!candidate.status)
+    for (const CandidateState &other : candidates) {
+        if (!other.status)
             continue;
         answered += 1;
-        if (!candidate.isStalePrimary && candidate.status->received > received)
-            return false;
+        if (!other.isStalePrimary && other.status->received > received)
+            return ChoiceProof::None;
     }
-    return answered + conditions.syncReplicas > candidates.size() + conditions.departed;
+    const bool areEnough = answered + conditions.syncReplicas > candidates.size() + conditions.departed;
+    return areEnough ? ChoiceProof::Answers : ChoiceProof::None;
 }
 
 template <typename Rank>
@@ -43,8 +46,7 @@
 
 /// With synchronous replicas. Of logs that end in one term the longest holds what was acknowledged, also if its server
 /// follows an earlier primary: the others may not have received all that their primary holds.
-const CandidateState *chooseSafeCandidate(std::span<const CandidateState> candidates,
-                                          const CandidateConditions &conditions)
+CandidateChoice chooseSafeCandidate(std::span<const CandidateState> candidates, const CandidateConditions &conditions)
 {
     const auto rank = [](const CandidateState &candidate) {
         return std::tuple(candidate.hasTakenOver, !candidate.isStalePrimary, candidate.status->received);
@@ -52,10 +54,11 @@
     // A draining server may be the only one that holds all commits.
     for (const bool withDraining : {false, true}) {
         const CandidateState *best = findBest(candidates, withDraining, rank);
-        if (best != nullptr && holdsAllCommits(candidates, *best, conditions))
-            return best;
+        const ChoiceProof proof = best == nullptr ? ChoiceProof::None : findProof(candidates, *best, conditions);
+        if (proof != ChoiceProof::None)
+            return {.candidate = best, .proof = proof};
     }
-    return nullptr;
+    return {};
 }
 
 bool lacksNewestTerm(const CandidateState &candidate)
@@ -97,6 +100,23 @@
 
 } // namespace
 
+std::string_view toText(ChoiceProof proof)
+{
+    switch (proof) {
+    case ChoiceProof::None:
+        return "none";
+    case ChoiceProof::TakenOver:
+        return "taken-over";
+    case ChoiceProof::CaughtUp:
+        return "caught-up";
+    case ChoiceProof::LogEnd:
+        return "log-end";
+    case ChoiceProof::Answers:
+        return "answers";
+    }
+    return {};
+}
+
 const CandidateState *bestCandidate(std::span<const CandidateState> candidates, bool withDraining)
 {
     return findBest(candidates, withDraining, [](const CandidateState &candidate) {
@@ -108,7 +128,7 @@
     });
 }
 
-const CandidateState *chooseCandidate(std::span<const CandidateState> candidates, const CandidateConditions &conditions)
+CandidateChoice chooseCandidate(std::span<const CandidateState> candidates, const CandidateConditions &conditions)
 {
     if (conditions.syncReplicas > 0)
         return chooseSafeCandidate(candidates, conditions);
@@ -118,13 +138,12 @@
         const CandidateState *any = bestCandidate(candidates, true);
         best = any != nullptr && (best == nullptr || !lacksNewestTerm(*any)) ? any : best;
     }
-    if (best == nullptr)
-        return nullptr;
-    return mustWait(candidates, *best, conditions) ? nullptr : best;
+    if (best == nullptr || mustWait(candidates, *best, conditions))
+        return {};
+    return {.candidate = best, .proof = best->hasTakenOver ? ChoiceProof::TakenOver : ChoiceProof::None};
 }
 
-const CandidateState *findCaughtUpCandidate(std::span<const CandidateState> candidates,
-                                            const ReplicationStatus &primary)
+CandidateChoice findCaughtUpCandidate(std::span<const CandidateState> candidates, const ReplicationStatus &primary)
 {
     // A log may be longer than the primary's because it was not rolled back yet.
     const auto hasCaughtUp = [&](const CandidateState &candidate) {
@@ -134,7 +153,8 @@
         return received == primary.received || (candidate.status->term >= primary.term && received > primary.received);
     };
     const auto found = std::find_if(candidates.begin(), candidates.end(), hasCaughtUp);
-    return found == candidates.end() ? nullptr : &*found;
+    return found == candidates.end() ? CandidateChoice{}
+                                     : CandidateChoice{.candidate = &*found, .proof = ChoiceProof::CaughtUp};
 }
 
 } // namespace Jujubekeel
--- a/src/leadership/candidatechoice.h
+++ b/src/leadership/candidatechoice.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace Jujubekeel {
 
@@ -26,6 +27,24 @@
     bool isRefused = false;     ///< the platform could not promote it lately
 };
 
+/// Why a candidate may be promoted.
+enum class ChoiceProof : std::uint8_t {
+    None,      ///< it may lack acknowledged commits, which is permitted without synchronous replicas
+    TakenOver, ///< an earlier holder has had it promoted
+    CaughtUp,  ///< it has received the whole log of an old primary that still answers
+    LogEnd,    ///< it has received the end of the log that the instances have seen
+    Answers,   ///< its log is the latest of so many that one of them holds each acknowledged commit
+};
+
+[[nodiscard]] std::string_view toText(ChoiceProof proof);
+
+/// Result of a choice.
+struct CandidateChoice
+{
+    const CandidateState *candidate = nullptr; ///< null: there is none, or answers must be awaited
+    ChoiceProof proof = ChoiceProof::None;
+};
+
 /// Under which conditions a candidate may be chosen.
 struct CandidateConditions
 {
@@ -48,13 +67,13 @@
 /// holds all acknowledged commits: it has received the end of the log that the instances have seen, or so many servers
 /// have answered that one of them must hold each acknowledged commit. Otherwise there is no bound, because a choice
 /// would lose commits; a changed configuration takes effect at once.
-[[nodiscard]] const CandidateState *chooseCandidate(std::span<const CandidateState> candidates,
-                                                    const CandidateConditions &conditions);
+[[nodiscard]] CandidateChoice chooseCandidate(std::span<const CandidateState> candidates,
+                                              const CandidateConditions &conditions);
 
-/// A candidate that has received the whole log of a primary which still answers and is to be replaced; null if there is
-/// none. Servers that leave are no candidates.
-[[nodiscard]] const CandidateState *findCaughtUpCandidate(std::span<const CandidateState> candidates,
-                                                          const ReplicationStatus &primary);
+/// A candidate that has received the whole log of a primary which still answers and is to be replaced, if there is one.
+/// Servers that leave are no candidates.
+[[nodiscard]] CandidateChoice findCaughtUpCandidate(std::span<const CandidateState> candidates,
+                                                    const ReplicationStatus &primary);
 
 /// The best of the candidates that have answered; null if there is none. Draining ones only if \a withDraining is set.
 [[nodiscard]] const CandidateState *bestCandidate(std::span<const CandidateState> candidates, bool withDraining);
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -30,6 +30,11 @@
 /// Bits of an epoch below the era.
 constexpr unsigned epochBits = 32;
 
+std::string toText(LogPosition position)
+{
+    return std::to_string(position.term) + '.' + std::to_string(position.position);
+}
+
 bool hasReleased(const FleetView::Member &member, const ServiceRow &service, std::uint64_t epoch)
 {
     return member.record.hasReleased(service.name, epoch);
@@ -497,8 +502,9 @@
     const bool isCatchUpOver = conditions.waited >= this->options.catchUpWait;
     const bool canAbandon = this->canAbandon(replacement);
     const bool needsWholeLog = this->oldPrimaryAnswers(service, replacement) && (canAbandon || !isCatchUpOver);
-    const CandidateState *best =
+    const CandidateChoice choice =
         needsWholeLog ? this->chooseCaughtUp(replacement, candidates) : chooseCandidate(candidates, conditions);
+    const CandidateState *best = choice.candidate;
     if (best == nullptr) {
         if (needsWholeLog && isCatchUpOver)
             this->abandon(id, replacement, candidates);
@@ -523,12 +529,14 @@
     this->world.log(LogLevel::Info, "candidate-chosen",
                     {{"service", service.name},
                      {"candidate", best->id},
-                     {"received", std::to_string(best->status->received.position)},
-                     {"seen", std::to_string(conditions.seen.position)},
+                     {"proof", std::string(toText(choice.proof))},
+                     {"received", toText(best->status->received)},
+                     {"seen", toText(conditions.seen)},
                      {"seenByAll", conditions.seenByAll ? "true" : "false"},
                      {"syncReplicas", std::to_string(conditions.syncReplicas)},
                      {"answered", std::to_string(answered)},
                      {"of", std::to_string(candidates.size())},
+                     {"departed", std::to_string(conditions.departed)},
                      {"waitedMs", std::to_string(conditions.waited.count() / 1000)},
                      {"token", std::to_string(fencingToken(replacement.announced))}});
     return true;
@@ -608,11 +616,11 @@
            || (status->second.isPrimary && status->second.term >= this->newestTerm(replacement));
 }
 
-const CandidateState *ReplacementSystem::chooseCaughtUp(const Replacement &replacement,
-                                                        std::span<const CandidateState> candidates) const
+CandidateChoice ReplacementSystem::chooseCaughtUp(const Replacement &replacement,
+                                                  std::span<const CandidateState> candidates) const
 {
     const auto source = replacement.statuses.find(replacement.record.primary);
-    return source == replacement.statuses.end() ? nullptr : findCaughtUpCandidate(candidates, source->second);
+    return source == replacement.statuses.end() ? CandidateChoice{} : findCaughtUpCandidate(candidates, source->second);
 }
 
 bool ReplacementSystem::canAbandon(const Replacement &replacement) const
@@ -625,16 +633,13 @@
 {
     const CandidateState *best = bestCandidate(candidates, true);
     const auto source = replacement.statuses.find(replacement.record.primary);
-    const auto describe = [](const ReplicationStatus &status) {
-        return std::to_string(status.received.term) + '.' + std::to_string(status.received.position);
-    };
     this->world.log(LogLevel::Error, "replacement-abandoned",
                     {{"service", this->world.services.at(id).name},
                      {"primary", replacement.record.primary},
                      {"epoch", std::to_string(replacement.record.epoch)},
-                     {"primaryReceived", source == replacement.statuses.end() ? "" : describe(source->second)},
+                     {"primaryReceived", source == replacement.statuses.end() ? "" : toText(source->second.received)},
                      {"best", best == nullptr ? "" : best->id},
-                     {"bestReceived", best == nullptr ? "" : describe(*best->status)}});
+                     {"bestReceived", best == nullptr ? "" : toText(best->status->received)}});
     this->world.counters.add("jujubekeel_pool_replacements_abandoned_total");
     this->enter(replacement, Step::Abandon);
     this->writeAbandonment(id, replacement);
@@ -687,8 +692,8 @@
     this->world.log(LogLevel::Error, "candidates-awaited",
                     {{"service", service.name},
                      {"best", best == nullptr ? "" : best->id},
-                     {"received", best == nullptr ? "" : std::to_string(best->status->received.position)},
-                     {"seen", std::to_string(conditions.seen.position)},
+                     {"received", best == nullptr ? "" : toText(best->status->received)},
+                     {"seen", toText(conditions.seen)},
                      {"seenByAll", conditions.seenByAll ? "true" : "false"},
                      {"syncReplicas", std::to_string(conditions.syncReplicas)},
                      {"missing", missing},
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -116,10 +116,9 @@
     [[nodiscard]] CandidateConditions conditions(ServiceId service, const Replacement &replacement) const;
     /// The old primary is to be replaced as planned, and still answers.
     [[nodiscard]] bool oldPrimaryAnswers(const ServiceRow &service, const Replacement &replacement) const;
-    /// Chooses a candidate that has received the whole log of an old primary which still answers; null while there is
-    /// none.
-    [[nodiscard]] const CandidateState *chooseCaughtUp(const Replacement &replacement,
-                                                       std::span<const CandidateState> candidates) const;
+    /// Chooses a candidate that has received the whole log of an old primary which still answers.
+    [[nodiscard]] CandidateChoice chooseCaughtUp(const Replacement &replacement,
+                                                 std::span<const CandidateState> candidates) const;
     /// True if the old primary can go on, because nothing was promoted or declared instead of it.
     [[nodiscard]] bool canAbandon(const Replacement &replacement) const;
     /// Lets the old primary go on, which still answers and holds more than any candidate.
--- a/tests/leadership/candidatechoicetest.cpp
+++ b/tests/leadership/candidatechoicetest.cpp
@@ -40,7 +40,7 @@
 
 std::string chosen(const std::vector<CandidateState> &candidates, const CandidateConditions &given)
 {
-    const CandidateState *best = chooseCandidate(candidates, given);
+    const CandidateState *best = chooseCandidate(candidates, given).candidate;
     return best == nullptr ? "" : best->id;
 }
 
@@ -154,7 +154,7 @@
 {
     const ReplicationStatus primary{.isPrimary = true, .term = 3, .received = at(9)};
     const auto hasCaughtUp = [&](const CandidateState &candidate) {
-        return findCaughtUpCandidate(std::vector{candidate}, primary) != nullptr;
+        return findCaughtUpCandidate(std::vector{candidate}, primary).candidate != nullptr;
     };
     EXPECT_TRUE(hasCaughtUp(answered("a", 9)));
     EXPECT_TRUE(hasCaughtUp(answered("a", 10)));
@@ -199,7 +199,7 @@
         // Instances may also have seen commits that were not acknowledged, and, if not all have reported, fewer.
         given.seen = at(given.seenByAll ? acknowledged + *rc::gen::inRange<std::uint64_t>(0, 3)
                                         : *rc::gen::inRange<std::uint64_t>(0, acknowledged + 1));
-        const CandidateState *best = chooseCandidate(candidates, given);
+        const CandidateState *best = chooseCandidate(candidates, given).candidate;
         RC_ASSERT((best == nullptr || best->status->received.position >= acknowledged));
     }));
 }
