Model of backend servers: a replica rolls back before it receives from a later primary

The trace shows a fault of the model: when the isolation of a primary ended, ship() appended the new primary's entries to the log of a former primary whose own tail had not been rolled back, and the server counted toward SyncReplicas with a log that no server can have. The product chose the right server by its position.

Change: ship() rolls back what the source does not have, as follow() did; an entry that is rolled back is no longer applied. A lost commit is reported with its position.

--- a/src/virtualpool/poolchecker.cpp
+++ b/src/virtualpool/poolchecker.cpp
@@ -116,7 +116,9 @@
         if (log.isLate(*found->second))
             violations.push_back("commit " + operation.commit + " of a replaced primary was acknowledged");
         if (group.settings().syncReplicas > 0 && !log.survives(*found->second))
-            violations.push_back("acknowledged commit " + operation.commit + " was lost by a promotion");
+            violations.push_back("acknowledged commit " + operation.commit + " at "
+                                 + std::to_string(found->second->position.term) + '.'
+                                 + std::to_string(found->second->position.position) + " was lost by a promotion");
         if (log.survives(*found->second))
             acknowledged.push_back(
                 {.at = operation.endedAt, .position = found->second->position, .session = operation.session});
--- a/src/virtualpool/statementgroup.cpp
+++ b/src/virtualpool/statementgroup.cpp
@@ -482,11 +482,22 @@
         source.running && target.running && !source.replicationIsolated && !target.replicationIsolated;
     if (!connected || !source.primary || target.primary || target.term > source.term || target.heldTerm > source.term)
         return;
+    rollBack(target, source);
     target.term = source.term;
     for (std::size_t index = target.log.size(); index < source.log.size(); ++index)
         target.log.push_back(Entry{.position = source.log[index].position, .receivedAt = this->events.now()});
 }
 
+void StatementGroup::rollBack(Server &server, const Server &source)
+{
+    // Logs that contain an entry of one term at one position are the same up to it.
+    std::size_t common = std::min(server.log.size(), source.log.size());
+    while (common > 0 && server.log[common - 1].position != source.log[common - 1].position)
+        common -= 1;
+    server.log.resize(common);
+    server.applied = std::min(server.applied, common);
+}
+
 bool StatementGroup::isCurrentPrimary(std::size_t index) const
 {
     const Server &server = this->servers[index];
@@ -536,12 +547,7 @@
     if (!server.running || !newPrimary.running || !newPrimary.primary || server.replicationIsolated
         || newPrimary.replicationIsolated || server.term >= newPrimary.term)
         return;
-    // Entries that the new primary does not have are rolled back.
-    std::size_t common = 0;
-    while (common < server.log.size() && common < newPrimary.log.size()
-           && server.log[common].position == newPrimary.log[common].position)
-        common += 1;
-    server.log.resize(common);
+    rollBack(server, newPrimary);
     server.primary = false;
     server.heldTerm = 0;
     server.term = newPrimary.term;
--- a/src/virtualpool/statementgroup.h
+++ b/src/virtualpool/statementgroup.h
@@ -218,6 +218,8 @@
     LogPosition append(std::size_t server, GroupHistory::Commit commit);
     void completePromotion(std::size_t server);
     void follow(std::size_t server, std::size_t primaryIndex);
+    /// Removes entries from the log of \a server that \a source does not have.
+    static void rollBack(Server &server, const Server &source);
     void ship(std::size_t from, std::size_t to);
     void answer(std::uint64_t connection, std::string digest, std::optional<OutcomeError> error);
     void refuse(std::uint64_t connection, OutcomeCode code);
