--- a/src/leadership/candidatechoice.cpp
+++ b/src/leadership/candidatechoice.cpp
@@ -13,11 +13,8 @@
 {
     if (candidate.hasTakenOver)
         return ChoiceProof::TakenOver;
-    if (candidate.isStalePrimary)
-        return ChoiceProof::None;
     const LogPosition received = candidate.status->received;
-    if (!candidate.isOutdated && conditions.seenByAll && conditions.seen != LogPosition{}
-        && received >= conditions.seen)
+    if (conditions.seenByAll && conditions.seen != LogPosition{} && received >= conditions.seen)
         return ChoiceProof::LogEnd;
     // Of any set of servers that leaves out fewer than the synchronous replicas one holds each acknowledged commit.
     std::size_t answered = 0;
@@ -25,7 +22,7 @@
         if (!other.status)
             continue;
         answered += 1;
-        if (!other.isStalePrimary && other.status->received > received)
+        if (other.status->received > received)
             return ChoiceProof::None;
     }
     const bool areEnough = answered + conditions.syncReplicas > candidates.size() + conditions.departed;
@@ -44,12 +41,11 @@
     return best;
 }
 
-/// With synchronous replicas. Of logs that end in one term the longest holds what was acknowledged, also if its server
-/// follows an earlier primary: the others may not have received all that their primary holds.
+/// With synchronous replicas.
 CandidateChoice chooseSafeCandidate(std::span<const CandidateState> candidates, const CandidateConditions &conditions)
 {
     const auto rank = [](const CandidateState &candidate) {
-        return std::tuple(candidate.hasTakenOver, !candidate.isStalePrimary, candidate.status->received);
+        return std::tuple(candidate.hasTakenOver, candidate.status->received);
     };
     // A draining server may be the only one that holds all commits.
     for (const bool withDraining : {false, true}) {
--- a/src/leadership/candidatechoice.h
+++ b/src/leadership/candidatechoice.h
@@ -63,10 +63,14 @@
 /// Chooses the server that becomes primary; empty while answers must be awaited.
 ///
 /// Without synchronous replicas the best candidate is chosen after a bounded wait. One that follows an earlier term is
-/// chosen only if no other server is expected to answer. With synchronous replicas a candidate is chosen only if it
-/// holds all acknowledged commits: it has received the end of the log that the instances have seen, or so many servers
-/// have answered that one of them must hold each acknowledged commit. Otherwise there is no bound, because a choice
-/// would lose commits; a changed configuration takes effect at once.
+/// chosen only if no other server is expected to answer.
+///
+/// With n synchronous replicas an acknowledged commit is in the logs of its primary and of n other servers, and no later
+/// primary lacks it. Of two logs, the one with the later last entry (by term, then by position) therefore holds every
+/// acknowledged commit that the other one holds, whatever roles their servers have. A candidate is chosen only with a
+/// proof: its log reaches the end that the instances have seen, or it is the latest of so many that fewer than n servers
+/// are left out. Otherwise there is no bound, because a choice would lose commits; a changed configuration takes effect at
+/// once.
 [[nodiscard]] CandidateChoice chooseCandidate(std::span<const CandidateState> candidates,
                                               const CandidateConditions &conditions);
 
