--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -100,6 +100,7 @@
     Node &node = *this->nodes.at(instance);
     node.core.reset();
     node.boot += 1;
+    node.frozenUntil = TimePoint{0};
     this->servers->instanceEnded(instance);
     this->relayConnections->instanceEnded(instance);
     std::erase_if(this->callerOf, [&](const auto &entry) { return entry.first.first == instance; });
@@ -111,7 +112,8 @@
 
 void VirtualPool::freezeInstance(std::size_t instance, Duration duration)
 {
-    this->nodes.at(instance)->frozenUntil = this->events.now() + duration;
+    TimePoint &frozenUntil = this->nodes.at(instance)->frozenUntil;
+    frozenUntil = std::max(frozenUntil, this->events.now() + duration);
 }
 
 void VirtualPool::input(std::size_t instance, std::uint64_t boot, std::function<void(PoolCore &core)> work)
