--- a/src/programs/jujubekeel-poolbench/main.cpp
+++ b/src/programs/jujubekeel-poolbench/main.cpp
@@ -18,9 +18,9 @@
 
 Usage:
   jujubekeel-poolbench random [--from=SEED] [--runs=N] [--relays] [--restored] [--sync] [--crashes]
-      [--organisations] [--paced]
-  jujubekeel-poolbench trace SEED [--relays] [--restored] [--sync] [--crashes] [--organisations]
-      [--paced]
+      [--unlisted] [--returning] [--organisations] [--paced]
+  jujubekeel-poolbench trace SEED [--relays] [--restored] [--sync] [--crashes]
+      [--unlisted] [--returning] [--organisations] [--paced]
   jujubekeel-poolbench failover [--seeds=N]
   jujubekeel-poolbench sharing [--seeds=N]
   jujubekeel-poolbench pace [--seeds=N] [--load=TEXT]
@@ -34,6 +34,8 @@
   --relays     nine instances: three are members, the others relay requests to them
   --restored   the store also returns from an older copy, once or twice in each run
   --crashes    the primary also crashes while an instance restarts and the replicas differ, once or twice in each run
+  --unlisted   a replica also loses its directory entry but receives, the other one is behind, and the primary crashes
+  --returning  the primary is also cut off and replaced, and returns before its successor, which crashes
   --sync       a commit is acknowledged when one replica has received it
   --organisations  the callers belong to 40 organisations
   --paced      the work for a server is limited by how it answers, and is queued by latency objective
@@ -57,6 +59,8 @@
     bool restored = false;
     bool synchronous = false;
     bool crashes = false;
+    bool unlisted = false;
+    bool returning = false;
     bool organisations = false;
     bool paced = false;
 };
@@ -71,7 +75,11 @@
     options.organisations = run.organisations ? organisationCount : 0;
     options.pool.adaptivePacing = run.paced;
     options.pool.queueByObjective = run.paced;
-    return runRandomFaults(seed, std::move(options), {.restoredStore = run.restored, .crashWithRestart = run.crashes});
+    return runRandomFaults(seed, std::move(options),
+                           {.restoredStore = run.restored,
+                            .crashWithRestart = run.crashes,
+                            .unlistedReplica = run.unlisted,
+                            .returningPrimary = run.returning});
 }
 
 int runRandomSeeds(std::uint64_t from, std::uint64_t runs, const RunOptions &run)
@@ -133,6 +141,8 @@
                          .restored = options.isGiven("--restored"),
                          .synchronous = options.isGiven("--sync"),
                          .crashes = options.isGiven("--crashes"),
+                         .unlisted = options.isGiven("--unlisted"),
+                         .returning = options.isGiven("--returning"),
                          .organisations = options.isGiven("--organisations"),
                          .paced = options.isGiven("--paced")};
     if (options.isGiven("trace"))
--- a/src/virtualpool/poolfaults.cpp
+++ b/src/virtualpool/poolfaults.cpp
@@ -82,6 +82,106 @@
     });
 }
 
+/// A replica whose directory entry has lapsed goes on receiving, and one instance does not reach it. The other replica
+/// receives nothing, and the primary crashes.
+void scheduleUnlistedReplica(VirtualPool &pool, SeededRandom &random)
+{
+    const auto draw = [&](std::uint64_t from, std::uint64_t below) {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
+    };
+    const Duration unlistedAt = draw(0, 6000);
+    const Duration behindAt = unlistedAt + draw(0, 3000);
+    const Duration crashAt = behindAt + draw(50, 3000);
+    const Duration listedAt = crashAt + draw(200, 4000);
+    const Duration end = listedAt + draw(200, 3000);
+    const std::size_t instance = random.below(pool.instanceCount());
+    const bool allRestart = random.below(2) == 0;
+    struct Roles
+    {
+        std::size_t primary = 0;
+        std::size_t behind = 0;
+        std::size_t unlisted = 0;
+    };
+    const auto roles = std::make_shared<Roles>();
+    const std::size_t behind = 1 + random.below(2);
+    pool.at(unlistedAt, [&pool, roles, behind, instance] {
+        const std::size_t size = pool.group().size();
+        roles->primary = pool.group().history().promotions.back().server;
+        roles->behind = (roles->primary + behind) % size;
+        roles->unlisted = (roles->primary + size - behind) % size;
+        pool.note("unlisted server=" + std::to_string(roles->unlisted) + " instance=" + std::to_string(instance));
+        pool.isolateInstanceFromServer(instance, roles->unlisted, true);
+        pool.setListed(roles->unlisted, false);
+    });
+    pool.at(behindAt, [&pool, roles] {
+        pool.note("replica behind server=" + std::to_string(roles->behind));
+        pool.group().setReplicationIsolated(roles->behind, true);
+    });
+    pool.at(crashAt, [&pool, roles, allRestart] {
+        pool.note("crash server=" + std::to_string(roles->primary));
+        pool.stopServer(roles->primary);
+        for (std::size_t other = 0; allRestart && other < pool.instanceCount(); ++other) {
+            pool.killInstance(other);
+            pool.at(std::chrono::milliseconds(100), [&pool, other] { pool.startInstance(other); });
+        }
+    });
+    pool.at(listedAt, [&pool, roles, instance] {
+        pool.isolateInstanceFromServer(instance, roles->unlisted, false);
+        pool.setListed(roles->unlisted, true);
+    });
+    pool.at(end, [&pool, roles] {
+        pool.group().setReplicationIsolated(roles->behind, false);
+        pool.startServer(roles->primary);
+    });
+}
+
+/// A replica receives nothing. The primary is cut off and replaced, and its successor crashes before the cut ends.
+void scheduleReturningPrimary(VirtualPool &pool, SeededRandom &random)
+{
+    const auto draw = [&](std::uint64_t from, std::uint64_t below) {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
+    };
+    const Duration behindAt = draw(0, 6000);
+    const Duration cutAt = behindAt + draw(50, 2000);
+    const Duration crashAt = cutAt + draw(1000, 3000);
+    const Duration cutEnd = crashAt + draw(0, 1500);
+    const Duration behindEnd = cutEnd + draw(500, 3000);
+    const Duration end = behindEnd + draw(0, 3000);
+    struct Roles
+    {
+        std::size_t primary = 0;
+        std::size_t behind = 0;
+        std::size_t successor = 0;
+    };
+    const auto roles = std::make_shared<Roles>();
+    const std::size_t behind = 1 + random.below(2);
+    const std::size_t reaching = random.below(pool.instanceCount());
+    const auto setCut = [&pool, roles, reaching](bool cut) {
+        pool.group().setReplicationIsolated(roles->primary, cut);
+        for (std::size_t instance = 0; instance < pool.instanceCount(); ++instance)
+            pool.isolateInstanceFromServer(instance, roles->primary, cut && instance != reaching);
+    };
+    pool.at(behindAt, [&pool, roles, behind] {
+        const std::size_t size = pool.group().size();
+        roles->primary = pool.group().history().promotions.back().server;
+        roles->behind = (roles->primary + behind) % size;
+        roles->successor = (roles->primary + size - behind) % size;
+        pool.note("replica behind server=" + std::to_string(roles->behind));
+        pool.group().setReplicationIsolated(roles->behind, true);
+    });
+    pool.at(cutAt, [&pool, roles, setCut] {
+        pool.note("cut off server=" + std::to_string(roles->primary));
+        setCut(true);
+    });
+    pool.at(crashAt, [&pool, roles] {
+        pool.note("crash server=" + std::to_string(roles->successor));
+        pool.stopServer(roles->successor);
+    });
+    pool.at(cutEnd, [setCut] { setCut(false); });
+    pool.at(behindEnd, [&pool, roles] { pool.group().setReplicationIsolated(roles->behind, false); });
+    pool.at(end, [&pool, roles] { pool.startServer(roles->successor); });
+}
+
 } // namespace
 
 void applyRandomFault(VirtualPool &pool, SeededRandom &random)
@@ -193,6 +293,14 @@
         for (std::uint64_t count = 1 + random.below(2); count > 0; --count)
             scheduleCrash(pool, random);
     }
+    if (faultOptions.unlistedReplica) {
+        for (std::uint64_t count = 1 + random.below(2); count > 0; --count)
+            scheduleUnlistedReplica(pool, random);
+    }
+    if (faultOptions.returningPrimary) {
+        for (std::uint64_t count = 1 + random.below(2); count > 0; --count)
+            scheduleReturningPrimary(pool, random);
+    }
     pool.run(runTime);
 
     std::vector<std::string> violations = findViolations(pool.group(), workload);
--- a/src/virtualpool/poolfaults.h
+++ b/src/virtualpool/poolfaults.h
@@ -20,6 +20,11 @@
     bool restoredStore = false; ///< the store returns from an older copy, once or twice
     /// Once or twice the primary crashes and an instance restarts, while one replica is behind and the other one busy.
     bool crashWithRestart = false;
+    /// Once or twice a replica loses its directory entry and one instance, but goes on receiving, while the other replica
+    /// is behind and the primary crashes. In half of these cases all instances restart.
+    bool unlistedReplica = false;
+    /// Once or twice the primary is cut off and replaced, and returns before its successor, which crashes.
+    bool returningPrimary = false;
 };
 
 /// Result of one run under load.
--- a/src/virtualpool/serverconnections.cpp
+++ b/src/virtualpool/serverconnections.cpp
@@ -133,12 +133,21 @@
     return group->promote(index);
 }
 
+void ServerConnections::setListed(std::size_t server, bool listed)
+{
+    const auto [group, index] = this->locate(server);
+    if (listed)
+        this->unlisted.erase(group->id(index));
+    else
+        this->unlisted.insert(group->id(index));
+}
+
 std::vector<ServerEntry> ServerConnections::entries() const
 {
     std::vector<ServerEntry> listed;
     for (const auto &group : this->groups) {
         for (std::size_t server = 0; server < group->size(); ++server) {
-            if (!group->isRunning(server))
+            if (!group->isRunning(server) || this->unlisted.contains(group->id(server)))
                 continue;
             listed.push_back(ServerEntry{.id = group->id(server),
                                          .service = group->settings().service,
--- a/src/virtualpool/serverconnections.h
+++ b/src/virtualpool/serverconnections.h
@@ -57,6 +57,8 @@
     [[nodiscard]] StatementGroup &group(std::size_t index) { return *this->groups.at(index); }
     /// Group of a server, and its index there.
     [[nodiscard]] std::pair<StatementGroup *, std::size_t> locate(std::size_t server) const;
+    /// Whether the directory has the entry of a server while it runs.
+    void setListed(std::size_t server, bool listed);
     /// Entries of all running servers, as the directory lists them.
     [[nodiscard]] std::vector<ServerEntry> entries() const;
 
@@ -87,6 +89,7 @@
     std::map<std::uint64_t, Connection> connections; ///< by connection
     std::map<LinkKey, std::uint64_t> connectionOf;
     std::set<std::pair<std::size_t, std::size_t>> isolated; ///< instance and server
+    std::set<std::string> unlisted;                         ///< ids of servers whose entries have lapsed
     std::uint64_t nextConnection = 1;
 };
 
--- a/src/virtualpool/virtualpool.cpp
+++ b/src/virtualpool/virtualpool.cpp
@@ -334,6 +334,12 @@
     this->announceServers();
 }
 
+void VirtualPool::setListed(std::size_t server, bool listed)
+{
+    this->servers->setListed(server, listed);
+    this->announceServers();
+}
+
 void VirtualPool::isolateInstanceFromServer(std::size_t instance, std::size_t server, bool isolated)
 {
     this->servers->isolate(instance, server, isolated);
--- a/src/virtualpool/virtualpool.h
+++ b/src/virtualpool/virtualpool.h
@@ -105,6 +105,8 @@
     void stopServer(std::size_t server);
     void startServer(std::size_t server);
     void setDraining(std::size_t server);
+    /// Removes or restores the directory entry of a server, which goes on running: it does not reach the store.
+    void setListed(std::size_t server, bool listed);
     /// Writes to the store and promotion calls take effect, but their answers are lost.
     void setStoreAnswersLost(bool lost) { this->requests->setAnswersLost(lost); }
 
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -655,6 +655,15 @@
     EXPECT_EQ(joined(runRandomFaults(GetParam(), options, {.crashWithRestart = true}).violations), "");
 }
 
+// Guards against a former primary being passed over although it alone holds what was acknowledged (review case 12), beside
+// other faults.
+TEST_P(SynchronousFaults, KeepCommitsOfReturningPrimaries)
+{
+    VirtualPoolOptions options;
+    options.group.syncReplicas = 1;
+    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, {.returningPrimary = true}).violations), "");
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousFaults, testing::Range<std::uint64_t>(1, 41));
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, SynchronousFaults,
                          testing::Values<std::uint64_t>(10021, 10328, 10473, 10494, 10783, 10851));
