--- a/src/leadership/candidatechoice.cpp
+++ b/src/leadership/candidatechoice.cpp
@@ -16,7 +16,8 @@
     const LogPosition received = candidate.status->received;
     if (conditions.seenByAll && conditions.seen != LogPosition{} && received >= conditions.seen)
         return ChoiceProof::LogEnd;
-    // Of any set of servers that leaves out fewer than the synchronous replicas one holds each acknowledged commit.
+    // Of any set of servers that leaves out fewer than those that hold each acknowledged commit one holds it.
+    const std::uint32_t holders = conditions.syncReplicas + (conditions.countsPrimary ? 1 : 0);
     std::size_t answered = 0;
     for (const CandidateState &other : candidates) {
         if (!other.status)
@@ -25,7 +26,7 @@
         if (other.status->received > received)
             return ChoiceProof::None;
     }
-    const bool areEnough = answered + conditions.syncReplicas > candidates.size() + conditions.departed;
+    const bool areEnough = answered + holders > candidates.size() + conditions.unlisted;
     return areEnough ? ChoiceProof::Answers : ChoiceProof::None;
 }
 
--- a/src/leadership/candidatechoice.h
+++ b/src/leadership/candidatechoice.h
@@ -49,13 +49,15 @@
 struct CandidateConditions
 {
     std::uint32_t syncReplicas = 0; ///< replicas that have received a commit before it is acknowledged
-    std::uint32_t departed = 0;     ///< servers that have left and may hold commits that the others lack
-    LogPosition seen;               ///< end of the old primary's log as instances have seen it; 0: not known
-    bool seenByAll = false;         ///< `seen` covers every commit that an instance has acknowledged
-    Duration waited{0};             ///< since the candidates were first asked
-    Duration elapsed{0};            ///< since the replacement began
-    Duration statusWait{0};         ///< without a reason to wait longer, for the answers of all candidates
-    Duration evidenceWait{0};       ///< the same if an answer that is expected may save acknowledged commits
+    std::uint32_t unlisted = 0;     ///< servers that are not listed and may hold commits that the others lack
+    /// The primary that acknowledged the last commits is not known, so that it is one of the candidates or unlisted.
+    bool countsPrimary = false;
+    LogPosition seen;         ///< end of the old primary's log as instances have seen it; 0: not known
+    bool seenByAll = false;   ///< `seen` covers every commit that an instance has acknowledged
+    Duration waited{0};       ///< since the candidates were first asked
+    Duration elapsed{0};      ///< since the replacement began
+    Duration statusWait{0};   ///< without a reason to wait longer, for the answers of all candidates
+    Duration evidenceWait{0}; ///< the same if an answer that is expected may save acknowledged commits
     /// Since the replacement began: time for servers that are unreachable, if all that have answered follow an earlier term.
     Duration absentWait{0};
 };
--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view recordPrefix = "leader.";
 constexpr std::string_view memberPrefix = "member.";
+constexpr std::string_view groupPrefix = "group.";
 
 /// A planned stop alone takes longer (PoolOptions::stopDrainDelay), so that no member comes and goes within this time.
 constexpr Duration shortestMembership = std::chrono::seconds(2);
@@ -34,10 +35,17 @@
     return std::string(memberPrefix) + std::string(instance);
 }
 
+std::string FleetView::groupName(std::string_view service)
+{
+    return std::string(groupPrefix) + std::string(service);
+}
+
 bool FleetView::isReadable(std::string_view name, std::string_view content)
 {
     if (name.starts_with(recordPrefix))
         return LeadershipRecord::fromText(content).has_value();
+    if (name.starts_with(groupPrefix))
+        return GroupRecord::fromText(content).has_value();
     return !name.starts_with(memberPrefix) || MemberRecord::fromText(content).has_value();
 }
 
@@ -157,6 +165,7 @@
     }
     std::erase_if(this->recordRows,
                   [&](const auto &row) { return !row.second.lost && !present.contains(recordName(row.first)); });
+    std::erase_if(this->groupRows, [&](const auto &row) { return !present.contains(groupName(row.first)); });
     this->removeMembers([&](const std::string &instance, const Member &row) {
         const bool remembered = row.version.era != era && !this->isEraRecovered();
         return !remembered && !present.contains(memberName(instance));
@@ -194,6 +203,13 @@
             this->removeMembers([&](const std::string &member, const Member &) { return member == instance; });
         else if (record && this->memberRows[instance].version < version)
             this->memberRows[instance] = Member{.record = *record, .version = version, .seenAt = now};
+    } else if (name.starts_with(groupPrefix)) {
+        const std::string service(name.substr(groupPrefix.size()));
+        auto record = GroupRecord::fromText(object.content);
+        if (object.deleted)
+            this->groupRows.erase(service);
+        else if (record && this->groupRows[service].version < version)
+            this->groupRows[service] = Group{.record = *record, .version = version};
     }
 }
 
@@ -221,6 +237,12 @@
     return found == this->memberRows.end() ? nullptr : &found->second;
 }
 
+const FleetView::Group *FleetView::group(std::string_view service) const
+{
+    const auto found = this->groupRows.find(service);
+    return found == this->groupRows.end() ? nullptr : &found->second;
+}
+
 const FleetView::Member *FleetView::currentMember(std::string_view instance) const
 {
     const Member *found = this->member(instance);
--- a/src/leadership/fleetview.h
+++ b/src/leadership/fleetview.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "leadership/fleetmessages.h"
+#include "leadership/grouprecord.h"
 #include "leadership/leadershiprecord.h"
 #include "leadership/memberrecord.h"
 
@@ -37,9 +38,17 @@
         TimePoint seenAt{0};
     };
 
+    /// GroupRecord of one service.
+    struct Group
+    {
+        GroupRecord record;
+        StoreVersion version;
+    };
+
     /// Name of the stored object.
     [[nodiscard]] static std::string recordName(std::string_view service);
     [[nodiscard]] static std::string memberName(std::string_view instance);
+    [[nodiscard]] static std::string groupName(std::string_view service);
     /// Name and content of the object that marks an era as recovered.
     static constexpr std::string_view recoveryName = "recovery";
     [[nodiscard]] static std::string recoveryText(std::uint64_t era);
@@ -52,6 +61,7 @@
 
     [[nodiscard]] const Record *record(std::string_view service) const;
     [[nodiscard]] const Member *member(std::string_view instance) const;
+    [[nodiscard]] const Group *group(std::string_view service) const;
     [[nodiscard]] const std::map<std::string, Record, std::less<>> &records() const { return this->recordRows; }
     [[nodiscard]] const std::map<std::string, Member, std::less<>> &members() const { return this->memberRows; }
     /// Version of the store that the view reflects; revision 0: nothing has been read yet.
@@ -90,6 +100,7 @@
 
     std::map<std::string, Record, std::less<>> recordRows; ///< by service
     std::map<std::string, Member, std::less<>> memberRows; ///< by instance
+    std::map<std::string, Group, std::less<>> groupRows;   ///< by service
     StoreVersion knownVersion;
     StoreVersion lostMemberVersion;
     TimePoint viewedAt{0};        ///< the view reflects the store at this time or later
--- a/src/leadership/leadershipsystem.cpp
+++ b/src/leadership/leadershipsystem.cpp
@@ -219,43 +219,11 @@
     this->release(id);
 }
 
-std::map<std::string, bool> LeadershipSystem::commitHolders(const ServiceRow &service) const
-{
-    std::map<std::string, bool> holders;
-    if (this->world.syncReplicas(service.name) == 0)
-        return holders;
-    // What was acknowledged after a server had left is held by one of the others, and so is all that came before.
-    for (const auto &[server, leftAt] : service.departed)
-        holders[server] = leftAt >= service.committedAt;
-    for (const ServerId server : service.servers)
-        holders[this->world.servers.at(server).entry.id] = true;
-    return holders;
-}
-
-std::uint32_t LeadershipSystem::countDeparted(ServiceId id, std::string_view primary, std::uint64_t epoch) const
-{
-    const ServiceRow &service = this->world.services.at(id);
-    std::map<std::string, bool> holders = this->commitHolders(service);
-    for (const auto &[instance, member] : this->registration.fleet().members()) {
-        const auto reported = member.record.holders.find(service.name);
-        if (instance == this->world.options.instance || !member.record.hasReleased(service.name, epoch)
-            || reported == member.record.holders.end())
-            continue;
-        for (const auto &[server, mayHold] : reported->second) {
-            bool &known = holders.try_emplace(server, mayHold).first->second;
-            known = known && mayHold;
-        }
-    }
-    return static_cast<std::uint32_t>(std::count_if(holders.begin(), holders.end(), [&](const auto &holder) {
-        return holder.second && holder.first != primary && !this->world.serverById.contains(holder.first);
-    }));
-}
-
 void LeadershipSystem::release(ServiceId id)
 {
     ServiceRow &service = this->world.services.at(id);
     service.released = true;
-    this->registration.setReleased(service.name, service.epoch, service.primarySeen, this->commitHolders(service));
+    this->registration.setReleased(service.name, service.epoch, service.primarySeen);
     if (this->world.servers.contains(service.primary)) {
         // Results of statements that still run there can no longer be accepted.
         const std::vector<LinkId> open = this->world.servers.at(service.primary).links;
--- a/src/leadership/leadershipsystem.h
+++ b/src/leadership/leadershipsystem.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <string_view>
 
 namespace Jujubekeel {
 
@@ -41,12 +40,11 @@
     /// True if the primary must be replaced now and it is this instance's turn by rank. \a planned is set if the
     /// primary still answers.
     [[nodiscard]] bool shouldReplace(ServiceId service, bool &planned) const;
-    /// Number of servers that are not listed here and may hold acknowledged commits which others lack, as the members tell
-    /// that have released \a primary for \a epoch.
-    [[nodiscard]] std::uint32_t countDeparted(ServiceId service, std::string_view primary, std::uint64_t epoch) const;
     /// True if the primary must be found by asking the servers, because the store may have lost the record of it or there
     /// is none, and it is this instance's turn by rank.
     [[nodiscard]] bool shouldFindPrimary(ServiceId service) const;
+    /// Delay of this instance according to its rank.
+    [[nodiscard]] Duration rankedDelay(const std::string &service) const;
 
 private:
     /// A primary that at least one instance finds unreachable.
@@ -75,8 +73,6 @@
     /// Releases a primary that is being replaced, unless a planned replacement lets running work finish.
     void releaseIfIdle(ServiceId service);
     void release(ServiceId service);
-    /// MemberRecord::holders of a service, as known now.
-    [[nodiscard]] std::map<std::string, bool> commitHolders(const ServiceRow &service) const;
     void checkView(ServiceId service);
     /// Tracks since when nobody is known to lead the service, and logs it while it lasts.
     void checkVacancy(const ServiceRow &service);
@@ -88,8 +84,6 @@
     [[nodiscard]] bool isPausedAfterAbandonment(const ServiceRow &service) const;
     /// Number of registered instances that act before this one.
     [[nodiscard]] std::uint32_t rank(const std::string &service) const;
-    /// Delay of this instance according to its rank.
-    [[nodiscard]] Duration rankedDelay(const std::string &service) const;
 
     PoolWorld &world;
     DispatchSystem &dispatch;
--- a/src/leadership/memberrecord.cpp
+++ b/src/leadership/memberrecord.cpp
@@ -34,8 +34,7 @@
                           {"state", static_cast<std::uint32_t>(this->state)},
                           {"reachable", reachable},
                           {"released", this->released},
-                          {"seen", seenPositions},
-                          {"holders", this->holders}}
+                          {"seen", seenPositions}}
         .dump();
 }
 
@@ -57,8 +56,6 @@
         for (const auto &[service, epoch] : root.at("released").items())
             record.released[service] = epoch.get<std::uint64_t>();
         // Earlier versions write none of these.
-        record.holders =
-            root.value("holders", nlohmann::json::object()).get<std::map<std::string, std::map<std::string, bool>>>();
         const nlohmann::json knownFrom = root.value("knownSince", nlohmann::json::array());
         if (!knownFrom.empty())
             record.knownSince = StoreVersion{.era = knownFrom.at(0).get<std::uint64_t>(),
--- a/src/leadership/memberrecord.h
+++ b/src/leadership/memberrecord.h
@@ -39,9 +39,6 @@
     /// By service: end of the old primary's log when the instance last saw it. All commits that this incarnation
     /// acknowledged are before it.
     std::map<std::string, LogPosition> seen;
-    /// By service with synchronous replicas, and by server that the instance knew at its release: whether the server may
-    /// hold commits that others lack. False for one that had left before a commit was acknowledged.
-    std::map<std::string, std::map<std::string, bool>> holders;
 
     /// True if the instance no longer uses the primary that is replaced in this epoch or an earlier one.
     [[nodiscard]] bool hasReleased(const std::string &service, std::uint64_t epoch) const
--- a/src/leadership/registrationsystem.cpp
+++ b/src/leadership/registrationsystem.cpp
@@ -357,12 +357,9 @@
         this->desired.views.erase(service);
 }
 
-void RegistrationSystem::setReleased(const std::string &service, std::uint64_t epoch, LogPosition seen,
-                                     std::map<std::string, bool> holders)
+void RegistrationSystem::setReleased(const std::string &service, std::uint64_t epoch, LogPosition seen)
 {
     this->desired.released[service] = epoch;
-    if (!holders.empty())
-        this->desired.holders[service] = std::move(holders);
     if (seen != LogPosition{})
         this->desired.seen[service] = seen;
 }
@@ -371,7 +368,6 @@
 {
     this->desired.released.erase(service);
     this->desired.seen.erase(service);
-    this->desired.holders.erase(service);
 }
 
 void RegistrationSystem::clearReleasedBefore(const std::string &service, std::uint64_t epoch)
--- a/src/leadership/registrationsystem.h
+++ b/src/leadership/registrationsystem.h
@@ -45,9 +45,8 @@
 
     // State of primaries in the member object; written by the next publish().
     void setView(const std::string &service, std::optional<PrimaryView> primaryView);
-    /// \a seen: end of the old primary's log as this instance has seen it. \a holders: see MemberRecord::holders.
-    void setReleased(const std::string &service, std::uint64_t epoch, LogPosition seen,
-                     std::map<std::string, bool> holders);
+    /// \a seen: end of the old primary's log as this instance has seen it.
+    void setReleased(const std::string &service, std::uint64_t epoch, LogPosition seen);
     void clearReleased(const std::string &service);
     /// Clears a release of an epoch before \a epoch.
     void clearReleasedBefore(const std::string &service, std::uint64_t epoch);
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -1,5 +1,6 @@
 #include "leadership/replacementsystem.h"
 
+#include "leadership/groupsystem.h"
 #include "leadership/leadershipsystem.h"
 #include "leadership/registrationsystem.h"
 #include "pool/linksystem.h"
@@ -43,15 +44,17 @@
 } // namespace
 
 ReplacementSystem::ReplacementSystem(PoolWorld &poolWorld, LinkSystem &linkSystem, LeadershipSystem &leadershipSystem,
-                                     RegistrationSystem &registrationSystem, LeadershipOptions leadershipOptions)
+                                     RegistrationSystem &registrationSystem, const GroupSystem &groupSystem,
+                                     LeadershipOptions leadershipOptions)
     : world(poolWorld), links(linkSystem), leadership(leadershipSystem), registration(registrationSystem),
-      options(leadershipOptions)
+      group(groupSystem), options(leadershipOptions)
 {
 }
 
 void ReplacementSystem::check()
 {
-    if (this->registration.isRecovering())
+    // Without a configuration it is not known which services have synchronous replicas.
+    if (this->registration.isRecovering() || !this->world.routes)
         return;
     std::vector<std::pair<ServiceId, bool>> due;
     std::vector<ServiceId> unfinished;
@@ -536,7 +539,7 @@
                      {"syncReplicas", std::to_string(conditions.syncReplicas)},
                      {"answered", std::to_string(answered)},
                      {"of", std::to_string(candidates.size())},
-                     {"departed", std::to_string(conditions.departed)},
+                     {"unlisted", std::to_string(conditions.unlisted)},
                      {"waitedMs", std::to_string(conditions.waited.count() / 1000)},
                      {"token", std::to_string(fencingToken(replacement.announced))}});
     return true;
@@ -600,7 +603,8 @@
         if (seen != member.record.seen.end())
             conditions.seen = std::max(conditions.seen, seen->second);
     }
-    conditions.departed = this->leadership.countDeparted(id, replacement.record.primary, replacement.record.epoch);
+    conditions.countsPrimary = replacement.record.primary.empty() && this->group.isRecorded(id);
+    conditions.unlisted = this->group.countUnlisted(id, replacement.record.primary);
     return conditions;
 }
 
@@ -697,7 +701,7 @@
                      {"seenByAll", conditions.seenByAll ? "true" : "false"},
                      {"syncReplicas", std::to_string(conditions.syncReplicas)},
                      {"missing", missing},
-                     {"departed", std::to_string(conditions.departed)},
+                     {"unlisted", std::to_string(conditions.unlisted)},
                      {"waitedMs", std::to_string(conditions.waited.count() / 1000)}});
 }
 
--- a/src/leadership/replacementsystem.h
+++ b/src/leadership/replacementsystem.h
@@ -18,6 +18,7 @@
 
 namespace Jujubekeel {
 
+class GroupSystem;
 class LeadershipSystem;
 class RegistrationSystem;
 class LinkSystem;
@@ -34,7 +35,8 @@
 {
 public:
     ReplacementSystem(PoolWorld &poolWorld, LinkSystem &linkSystem, LeadershipSystem &leadershipSystem,
-                      RegistrationSystem &registrationSystem, LeadershipOptions leadershipOptions);
+                      RegistrationSystem &registrationSystem, const GroupSystem &groupSystem,
+                      LeadershipOptions leadershipOptions);
 
     /// Starts replacements that are due; called every check interval.
     void check();
@@ -141,6 +143,7 @@
     LinkSystem &links;
     LeadershipSystem &leadership;
     RegistrationSystem &registration;
+    const GroupSystem &group;
     LeadershipOptions options;
     std::map<ServiceId, Replacement> replacements;
     std::set<std::uint64_t> evictionCalls; ///< writes in progress that evict members
--- a/src/pool/directorysystem.cpp
+++ b/src/pool/directorysystem.cpp
@@ -14,8 +14,6 @@
 
 /// Servers that still run write their entries again within 2 s of the end of a store outage.
 constexpr Duration missingEntryGrace = std::chrono::milliseconds(2500);
-/// A server that has left may hold commits that the others lack; after this time its data counts as lost.
-constexpr Duration departureRetention = std::chrono::seconds(60);
 
 } // namespace
 
@@ -47,7 +45,7 @@
     const ServerId id = this->world.servers.insert(ServerRow{.entry = entry, .service = service});
     this->world.serverById.insert_or_assign(entry.id, id);
     this->world.services.at(service).servers.push_back(id);
-    this->world.services.at(service).departed.erase(entry.id);
+    this->world.services.at(service).unlisted.added(entry.id, entry.address);
     this->world.services.at(service).serverAddedAt = this->world.now;
     ServerRow &row = this->world.servers.at(id);
     row.drainingSince = entry.draining ? this->world.now : TimePoint{0};
@@ -169,9 +167,10 @@
     std::erase(service.servers, id);
     if (service.primary == id)
         service.primary = ServerId{};
-    std::erase_if(service.departed,
-                  [&](const auto &entry) { return this->world.now - entry.second >= departureRetention; });
-    service.departed[row.entry.id] = this->world.now;
+    const bool hasSuccessor = std::any_of(service.servers.begin(), service.servers.end(), [&](ServerId other) {
+        return this->world.servers.at(other).entry.address == row.entry.address;
+    });
+    service.unlisted.removed(row.entry.id, row.entry.address, row.entry.draining, hasSuccessor, this->world.now);
 
     // Work in progress on the server ends with its links.
     this->results.serverRemoved(id);
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -28,7 +28,8 @@
                this->organisationSystem, this->admission),
       directory(this->world, this->links, this->dispatch, this->results), registration(this->world, leadershipOptions),
       leadership(this->world, this->dispatch, this->results, this->registration, leadershipOptions),
-      replacement(this->world, this->links, this->leadership, this->registration, leadershipOptions),
+      group(this->world, this->registration, this->leadership, leadershipOptions),
+      replacement(this->world, this->links, this->leadership, this->registration, this->group, leadershipOptions),
       recovery(this->world, this->registration, leadershipOptions), relay(this->world, this->links, this->results),
       feedSubscriber(
           this->world, this->links, this->dispatch, this->registration,
@@ -184,6 +185,7 @@
     this->applyOrganisations(organisations);
     this->organisationSystem.organisationsChanged();
     this->directory.servicesChanged();
+    this->group.update();
     this->sessions.routesReceived();
     if (current == 0 && this->world.usesOrganisations())
         this->world.timers.add(this->world.now + this->world.options.confirmationWait, TimerKind::Feed);
@@ -227,6 +229,7 @@
     this->world.now = now;
     this->directory.entryChanged(entry);
     this->leadership.serversChanged();
+    this->group.update();
 }
 
 void PoolCore::entryRemoved(TimePoint now, std::string_view id)
@@ -234,6 +237,7 @@
     this->world.now = now;
     this->directory.entryRemoved(id);
     this->leadership.serversChanged();
+    this->group.update();
 }
 
 void PoolCore::entriesListed(TimePoint now, const std::vector<ServerEntry> &entries)
@@ -242,6 +246,7 @@
     this->directory.entriesListed(entries);
     this->registration.serversListed();
     this->leadership.serversChanged();
+    this->group.update();
     this->updateRole();
 }
 
@@ -253,6 +258,7 @@
     if (this->registration.fleet().version().era != era)
         this->eraChanged();
     this->leadership.fleetUpdated();
+    this->group.update();
     this->fleetChanged();
     this->links.closeSurplus();
     this->replacement.advance();
@@ -269,6 +275,7 @@
 {
     this->replacement.eraChanged();
     this->recovery.eraChanged();
+    this->group.eraChanged();
 }
 
 void PoolCore::membersReported(const FleetUpdate &update)
@@ -293,7 +300,8 @@
 void PoolCore::writeFinished(TimePoint now, const WriteOutcome &outcome)
 {
     this->world.now = now;
-    if (!this->registration.writeFinished(outcome) && !this->recovery.writeFinished(outcome))
+    if (!this->registration.writeFinished(outcome) && !this->recovery.writeFinished(outcome)
+        && !this->group.writeFinished(outcome))
         this->replacement.writeFinished(outcome);
     this->fleetChanged();
 }
@@ -351,11 +359,13 @@
     case TimerKind::ServerMissing:
         this->directory.checkMissing(ServerId::fromPacked(entry.subject));
         this->leadership.serversChanged();
+        this->group.update();
         return;
     case TimerKind::Leadership:
         this->leadership.check();
         this->replacement.check();
         this->recovery.check();
+        this->group.check();
         return;
     case TimerKind::Vacancy:
         this->updateRole();
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "leadership/groupsystem.h"
 #include "leadership/leadershipoptions.h"
 #include "leadership/leadershipsystem.h"
 #include "leadership/recoverysystem.h"
@@ -139,6 +140,7 @@
     DirectorySystem directory;
     RegistrationSystem registration;
     LeadershipSystem leadership;
+    GroupSystem group;
     ReplacementSystem replacement;
     RecoverySystem recovery;
     RelaySystem relay;
--- a/src/pool/resultsystem.cpp
+++ b/src/pool/resultsystem.cpp
@@ -313,7 +313,7 @@
     if (wrote && ended && (onPrimary || relayed) && completed.position)
         session.mark = *completed.position;
     if (wrote && ended && onPrimary)
-        this->world.services.at(serviceId).committedAt = this->world.now;
+        this->world.services.at(serviceId).unlisted.commitAcknowledged(this->world.now);
     if (ended) {
         link.inTransaction = completed.state != SessionState::Idle;
         if (session.transaction)
--- a/src/pool/servicerow.h
+++ b/src/pool/servicerow.h
@@ -2,6 +2,7 @@
 
 #include "pool/poolids.h"
 #include "pool/positionhistory.h"
+#include "pool/unlistedservers.h"
 #include "pool/waitestimate.h"
 #include "sharing/organisationqueue.h"
 
@@ -12,7 +13,7 @@
 namespace Jujubekeel {
 
 /// One group of backend servers. Written by DirectorySystem, LeadershipSystem, QueueSystem (queue) and ResultSystem
-/// (positions).
+/// (positions, unlisted).
 struct ServiceRow
 {
     std::string name;
@@ -35,10 +36,9 @@
     bool released = false;               ///< while changing: this instance no longer accepts results of the primary
     TimePoint leadershipVerifiedAt{0};   ///< the leadership was last verified to be unchanged; 0: never
     PositionHistory positions;
-    LogPosition primarySeen;                   ///< highest log position in answers of the primary, verified or not
-    TimePoint committedAt{0};                  ///< last acknowledged commit of this instance
-    std::map<std::string, TimePoint> departed; ///< servers that left lately, and when
-    TimePoint positionRequestedAt{0};          ///< when the request in progress was sent; 0: there is none
+    LogPosition primarySeen; ///< highest log position in answers of the primary, verified or not
+    UnlistedServers unlisted;
+    TimePoint positionRequestedAt{0}; ///< when the request in progress was sent; 0: there is none
 };
 
 } // namespace Jujubekeel
--- a/tests/leadership/candidatechoicetest.cpp
+++ b/tests/leadership/candidatechoicetest.cpp
@@ -54,11 +54,11 @@
     EXPECT_EQ(chosen({answered("a", 5), answered("b", 9), silent("c")}, conditions(2, milliseconds(0))), "b");
 }
 
-// Guards against servers that have left being forgotten although they may hold what the others lack.
-TEST(CandidateChoice, DepartedServerCountsAsMissing)
+// Guards against servers without a directory entry being forgotten although they may hold what the others lack.
+TEST(CandidateChoice, UnlistedServerCountsAsMissing)
 {
     CandidateConditions given = conditions(1, milliseconds(0));
-    given.departed = 1;
+    given.unlisted = 1;
     EXPECT_EQ(chosen({answered("a", 5)}, given), "");
     given.seen = at(5);
     EXPECT_EQ(chosen({answered("a", 5)}, given), "");
@@ -66,6 +66,19 @@
     EXPECT_EQ(chosen({answered("a", 5)}, given), "a");
 }
 
+// Guards against a service without a primary for as long as the unknown old one is away, although fewer servers than hold
+// each commit are left out.
+TEST(CandidateChoice, UnknownPrimaryIsOneOfThoseThatHoldACommit)
+{
+    CandidateConditions given = conditions(1, milliseconds(0));
+    given.unlisted = 1;
+    EXPECT_EQ(chosen({answered("a", 5), answered("b", 9)}, given), "");
+    given.countsPrimary = true;
+    EXPECT_EQ(chosen({answered("a", 5), answered("b", 9)}, given), "b");
+    given.unlisted = 2;
+    EXPECT_EQ(chosen({answered("a", 5), answered("b", 9)}, given), "");
+}
+
 // Guards against a leaving server being promoted where another one will do, and against commits being lost with it.
 TEST(CandidateChoice, DrainingServerIsChosenOnlyForItsCommits)
 {
@@ -342,7 +355,7 @@
         CandidateConditions given = conditions(sync, std::chrono::hours(1));
         for (std::size_t server = 0; server < servers; ++server) {
             if (*rc::gen::inRange(0, 4) == 0) {
-                given.departed += 1;
+                given.unlisted += 1;
                 continue;
             }
             candidates.push_back(*rc::gen::arbitrary<bool>() ? answered(std::to_string(server), received[server])
--- a/tests/leadership/fleetviewtest.cpp
+++ b/tests/leadership/fleetviewtest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+
 namespace Jujubekeel {
 
 namespace {
@@ -142,6 +145,26 @@
     EXPECT_EQ(view.member("i1")->record.incarnation, 5U);
 }
 
+// Guards against a record of a group that stays in the view although the store returned from a copy without it.
+TEST(FleetView, GroupRecordsFollowTheStore)
+{
+    const auto group = [](std::uint64_t revision, const std::set<std::string> &servers) {
+        return FleetObject{.name = FleetView::groupName("records"),
+                           .revision = revision,
+                           .content = GroupRecord{.servers = servers}.toText()};
+    };
+    FleetView view;
+    EXPECT_TRUE(
+        view.apply({.complete = true, .objects = {group(5, {"a", "b"})}, .revision = 5, .era = 1}, milliseconds(1)));
+    ASSERT_NE(view.group("records"), nullptr);
+    EXPECT_EQ(view.group("records")->record.servers, (std::set<std::string>{"a", "b"}));
+    EXPECT_TRUE(view.apply({.complete = true, .objects = {group(3, {"a"})}, .revision = 4, .era = 2}, milliseconds(2)));
+    EXPECT_EQ(view.group("records")->record.servers, std::set<std::string>{"a"});
+    EXPECT_TRUE(view.apply({.complete = true, .revision = 5, .era = 2}, milliseconds(3)));
+    EXPECT_EQ(view.group("records"), nullptr);
+    EXPECT_FALSE(FleetView::isReadable(FleetView::groupName("records"), "{}"));
+}
+
 // Guards against a declaration that is lost with a restored store: an announcement that names the candidate of an earlier
 // epoch was taken for one.
 TEST(LeadershipRecord, DeclarationIsLaterThanAnAnnouncementThatNamesACandidate)
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -635,6 +635,65 @@
     EXPECT_GE(service.primarySeen, pool.group().history().commits.back().position);
 }
 
+/// Two replicas, of which the first receives nothing, and the second has lost its entry but receives. One instance does not
+/// reach the second. The primary has crashed.
+struct UnlistedReplica
+{
+    explicit UnlistedReplica(bool restartsAll) : run(1)
+    {
+        VirtualPool &pool = this->run.pool;
+        pool.run(seconds(1));
+        pool.isolateInstanceFromServer(0, 2, true);
+        pool.setListed(2, false);
+        pool.run(milliseconds(500));
+        pool.group().setReplicationIsolated(1, true);
+        pool.run(seconds(3));
+        pool.stopServer(0);
+        for (std::size_t instance = 0; restartsAll && instance < pool.instanceCount(); ++instance) {
+            pool.killInstance(instance);
+            pool.at(milliseconds(100), [&pool, instance] { pool.startInstance(instance); });
+        }
+        pool.run(seconds(8));
+    }
+    void finish()
+    {
+        EXPECT_EQ(this->run.pool.promotions(), 0U) << "the replica without an entry may hold what the other one lacks";
+        EXPECT_GE(this->run.pool.countLogs("candidates-awaited"), 1U);
+        this->run.pool.isolateInstanceFromServer(0, 2, false);
+        this->run.pool.setListed(2, true);
+        this->run.pool.run(seconds(4));
+        EXPECT_TRUE(this->run.pool.group().isPrimary(2));
+        EXPECT_EQ(this->run.finish(), "");
+    }
+
+    LoadedGroup run;
+};
+
+// Guards against the loss of commits that only a replica without an entry has received: one instance had removed it, and
+// counted it as one that holds nothing (review case 11).
+TEST(Replacement, ReplicaWithoutAnEntryIsAwaited)
+{
+    UnlistedReplica(false).finish();
+}
+
+// Guards against the same loss after a restart of all instances, which have never seen the replica.
+TEST(Replacement, RestartedInstancesAwaitAReplicaWithoutAnEntry)
+{
+    UnlistedReplica(true).finish();
+}
+
+// Guards against store calls for a record that nothing needs.
+TEST(Replacement, GroupIsRecordedOnlyWithSynchronousReplicas)
+{
+    for (const std::uint32_t syncReplicas : {0U, 1U}) {
+        VirtualPoolOptions options = synchronousOptions();
+        options.group.syncReplicas = syncReplicas;
+        VirtualPool pool(options);
+        pool.run(seconds(5));
+        EXPECT_EQ(pool.countLogs("group-write"), syncReplicas) << "one member writes it, once";
+    }
+}
+
 class SynchronousFaults : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -664,6 +723,29 @@
     EXPECT_EQ(joined(runRandomFaults(GetParam(), options, {.returningPrimary = true}).violations), "");
 }
 
+// Guards against a replica that receives without a directory entry being counted as one that has ended (review case 11),
+// beside other faults.
+TEST_P(SynchronousFaults, KeepCommitsOfUnlistedReplicas)
+{
+    VirtualPoolOptions options;
+    options.group.syncReplicas = 1;
+    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, {.unlistedReplica = true}).violations), "");
+}
+
+class ForgottenServers : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against a server that nobody remembers after all instances have restarted.
+TEST_P(ForgottenServers, StillCount)
+{
+    VirtualPoolOptions options;
+    options.group.syncReplicas = 1;
+    const PoolFaultOptions faults{.restoredStore = true, .crashWithRestart = true};
+    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, faults).violations), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenServers, testing::Values<std::uint64_t>(94000284, 94001363));
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousFaults, testing::Range<std::uint64_t>(1, 41));
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, SynchronousFaults,
                          testing::Values<std::uint64_t>(10021, 10328, 10473, 10494, 10783, 10851));
