--- a/src/leadership/fleetview.cpp
+++ b/src/leadership/fleetview.cpp
@@ -40,6 +40,11 @@
     return std::string(groupPrefix) + std::string(service);
 }
 
+bool FleetView::concernsMembers(std::string_view name)
+{
+    return name.starts_with(memberPrefix) || name == recoveryName;
+}
+
 bool FleetView::isReadable(std::string_view name, std::string_view content)
 {
     if (name.starts_with(recordPrefix))
--- a/src/leadership/fleetview.h
+++ b/src/leadership/fleetview.h
@@ -53,6 +53,9 @@
     static constexpr std::string_view recoveryName = "recovery";
     [[nodiscard]] static std::string recoveryText(std::uint64_t era);
 
+    /// Whether the object is a registration, or tells whether registrations of an earlier era still count.
+    [[nodiscard]] static bool concernsMembers(std::string_view name);
+
     /// Whether the view can use an object of this name and content; always true for names that it does not know.
     [[nodiscard]] static bool isReadable(std::string_view name, std::string_view content);
 
--- a/src/pool/feedsubscriber.cpp
+++ b/src/pool/feedsubscriber.cpp
@@ -1,5 +1,6 @@
 #include "pool/feedsubscriber.h"
 
+#include "leadership/memberview.h"
 #include "leadership/registrationsystem.h"
 #include "pool/dispatchsystem.h"
 #include "pool/feedrequest.h"
@@ -14,18 +15,19 @@
 namespace Jujubekeel {
 
 FeedSubscriber::FeedSubscriber(PoolWorld &poolWorld, LinkSystem &linkSystem, DispatchSystem &dispatchSystem,
-                               const RegistrationSystem &registrationSystem, Callbacks feedCallbacks)
+                               const RegistrationSystem &registrationSystem, const MemberView &knownMembers,
+                               Callbacks feedCallbacks)
     : world(poolWorld), links(linkSystem), dispatch(dispatchSystem), registration(registrationSystem),
-      callbacks(std::move(feedCallbacks))
+      members(knownMembers), callbacks(std::move(feedCallbacks))
 {
 }
 
 bool FeedSubscriber::wantsReports() const
 {
-    return this->world.usesOrganisations() || this->wantsMembers();
+    return this->world.usesOrganisations() || this->replacesFleetView();
 }
 
-bool FeedSubscriber::wantsMembers() const
+bool FeedSubscriber::replacesFleetView() const
 {
     return this->world.isRelaying() && !this->registration.isRegistered();
 }
@@ -96,7 +98,7 @@
 {
     this->link = freeLink;
     this->source = this->world.servers.at(this->world.links.at(freeLink).server).entry.id;
-    const FleetView &view = this->registration.fleet();
+    const FleetView &view = this->members.fleet();
     const bool wantsDifferences = this->world.options.feedDifferences && !this->wantsWholeTables;
     const FeedRequest request{.routeVersion = this->world.routes ? this->world.routes->version() : 0,
                               .organisationVersion =
@@ -105,7 +107,7 @@
                               .routeDigest = wantsDifferences ? this->world.routesDigest : 0,
                               .organisationDigest = wantsDifferences ? this->world.organisationsDigest : 0,
                               .acceptsCompressed = wantsDifferences,
-                              .wantsMembers = this->wantsMembers(),
+                              .wantsMembers = true,
                               .memberRevision = view.memberVersion().revision,
                               .memberEra = view.memberVersion().era,
                               .memberDigest = view.memberDigest()};
@@ -133,12 +135,13 @@
     const TimePoint verified = exchange.sentAt + update->verifiedAfter;
     // A request that is sent before the tables are in force would be answered with the same tables again.
     this->applying = true;
-    if (update->members && this->wantsMembers())
+    if (update->members)
         this->callbacks.members(FleetUpdate{.complete = true,
                                             .reported = true,
                                             .objects = *update->members,
                                             .revision = update->memberRevision,
                                             .era = update->memberEra});
+    this->callbacks.confirmed(verified);
     this->applyTables(*update);
     this->applying = false;
     if (this->world.now - verified > this->world.options.feedMaxAge) {
--- a/src/pool/feedsubscriber.h
+++ b/src/pool/feedsubscriber.h
@@ -14,6 +14,7 @@
 namespace Jujubekeel {
 
 class DispatchSystem;
+class MemberView;
 class OrganisationTable;
 class RegistrationSystem;
 class RouteTable;
@@ -32,10 +33,13 @@
         std::function<void(std::shared_ptr<const RouteTable> routes)> routes;
         std::function<void(const std::shared_ptr<const OrganisationTable> &organisations)> organisations;
         std::function<void(const FleetUpdate &update)> members;
+        /// The store showed the members that this instance knows at \a verifiedAt.
+        std::function<void(TimePoint verifiedAt)> confirmed;
     };
 
     FeedSubscriber(PoolWorld &poolWorld, LinkSystem &linkSystem, DispatchSystem &dispatchSystem,
-                   const RegistrationSystem &registrationSystem, Callbacks feedCallbacks);
+                   const RegistrationSystem &registrationSystem, const MemberView &knownMembers,
+                   Callbacks feedCallbacks);
 
     /// Sends the next request if none is outstanding; called after each input that may have changed the members, their
     /// links or this instance's role.
@@ -53,8 +57,8 @@
     /// Relaying instances always. If callers need keys, all others too: the store may reject them, or answer them with a
     /// configuration that is older than what others have seen.
     [[nodiscard]] bool wantsReports() const;
-    /// Whether the reports replace this instance's own view of the fleet's members.
-    [[nodiscard]] bool wantsMembers() const;
+    /// Whether the reports replace this instance's own view of the fleet.
+    [[nodiscard]] bool replacesFleetView() const;
     /// The member to ask; invalid if there is none.
     [[nodiscard]] ServerId chooseSource() const;
     struct ReportedTables
@@ -74,6 +78,7 @@
     LinkSystem &links;
     DispatchSystem &dispatch;
     const RegistrationSystem &registration;
+    const MemberView &members;
     Callbacks callbacks;
     LinkId link;        ///< on which a request is outstanding; invalid or stale: there is none
     std::string source; ///< member that was last asked
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -32,7 +32,7 @@
       replacement(this->world, this->links, this->leadership, this->registration, this->group, leadershipOptions),
       recovery(this->world, this->registration, leadershipOptions), relay(this->world, this->links, this->results),
       feedSubscriber(
-          this->world, this->links, this->dispatch, this->registration,
+          this->world, this->links, this->dispatch, this->registration, this->memberView,
           {.routes = [this](std::shared_ptr<const RouteTable> routes) { this->applyRoutes(std::move(routes)); },
            .organisations =
                [this](const std::shared_ptr<const OrganisationTable> &organisations) {
@@ -40,7 +40,12 @@
                    this->organisationSystem.organisationsChanged();
                    this->feedPublisher.publish();
                },
-           .members = [this](const FleetUpdate &update) { this->membersReported(update); }})
+           .members = [this](const FleetUpdate &update) { this->membersReported(update); },
+           .confirmed =
+               [this](TimePoint verifiedAt) {
+                   this->memberView.confirmed(verifiedAt);
+                   this->rateLimits.membersChanged(this->memberView);
+               }})
 {
     this->world.options = std::move(options);
 }
@@ -221,7 +226,7 @@
                      {"keys", std::to_string(organisations->allKeys().size())},
                      {"ambiguousKeys", std::to_string(organisations->ambiguousKeys())}});
     this->rateLimits.organisationsChanged();
-    this->rateLimits.membersChanged(this->registration.fleet());
+    this->rateLimits.membersChanged(this->memberView);
 }
 
 void PoolCore::entryChanged(TimePoint now, const ServerEntry &entry)
@@ -255,6 +260,7 @@
     this->world.now = now;
     const std::uint64_t era = this->registration.fleet().version().era;
     this->registration.fleetUpdated(update);
+    this->memberView.read(update, now);
     if (this->registration.fleet().version().era != era)
         this->eraChanged();
     this->leadership.fleetUpdated();
@@ -280,6 +286,7 @@
 
 void PoolCore::membersReported(const FleetUpdate &update)
 {
+    this->memberView.reported(update, this->world.now);
     this->registration.membersReported(update);
     this->registration.publish();
     this->fleetChanged();
@@ -288,7 +295,7 @@
 void PoolCore::fleetChanged()
 {
     this->relay.update(this->registration.fleet());
-    this->rateLimits.membersChanged(this->registration.fleet());
+    this->rateLimits.membersChanged(this->memberView);
     // Entries that are no longer followed may name servers that have left, so they have to be listed again before use.
     if (this->world.isRelaying() && !this->registration.awaitsVerification())
         this->world.serversListed = false;
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -3,6 +3,7 @@
 #include "leadership/groupsystem.h"
 #include "leadership/leadershipoptions.h"
 #include "leadership/leadershipsystem.h"
+#include "leadership/memberview.h"
 #include "leadership/recoverysystem.h"
 #include "leadership/registrationsystem.h"
 #include "leadership/replacementsystem.h"
@@ -144,6 +145,7 @@
     ReplacementSystem replacement;
     RecoverySystem recovery;
     RelaySystem relay;
+    MemberView memberView;
     FeedSubscriber feedSubscriber;
     TimePoint routesSince{0}; ///< when the first configuration came into force; 0: not yet
 };
--- a/src/pool/ratelimitsystem.cpp
+++ b/src/pool/ratelimitsystem.cpp
@@ -1,6 +1,6 @@
 #include "pool/ratelimitsystem.h"
 
-#include "leadership/fleetview.h"
+#include "leadership/memberview.h"
 #include "membership/rendezvous.h"
 #include "pool/linksystem.h"
 #include "pool/poolworld.h"
@@ -33,6 +33,29 @@
     return count;
 }
 
+/// In place of a number of operations: the member is asked for the version of its view of the members.
+constexpr std::string_view confirmationWord = "MEMBERS";
+constexpr std::string_view anyOrganisation = "-";
+/// Between two requests for a confirmation.
+constexpr Duration confirmationRetry = std::chrono::milliseconds(300);
+
+std::optional<StoreVersion> toVersion(std::string_view text)
+{
+    const auto toNumber = [](std::string_view digits) -> std::optional<std::uint64_t> {
+        std::uint64_t number = 0;
+        const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+        return failure == std::errc{} && end == digits.data() + digits.size() ? std::optional(number) : std::nullopt;
+    };
+    const std::size_t space = text.find(' ');
+    if (space == std::string_view::npos)
+        return std::nullopt;
+    const auto era = toNumber(text.substr(0, space));
+    const auto revision = toNumber(text.substr(space + 1));
+    if (!era || !revision)
+        return std::nullopt;
+    return StoreVersion{.era = *era, .revision = *revision};
+}
+
 /// Answer of a member: the number of operations and the time after which to retry, in milliseconds.
 std::string toText(const RateGrant &grant)
 {
@@ -64,7 +87,9 @@
 {
     this->incarnation = processIncarnation;
     const std::string &instance = this->world.options.instance;
-    this->grantor = RateGrantor(RateGrantorOptions{.instance = instance});
+    this->grantor = RateGrantor(RateGrantorOptions{.instance = instance,
+                                                   .viewLease = this->world.options.authorityLease,
+                                                   .isFirstStart = this->world.options.firstStart});
     this->spender = RateSpender();
     this->self = RateMember{.name = instance, .region = this->world.options.region};
 }
@@ -183,8 +208,63 @@
     return link;
 }
 
+void RateLimitSystem::requestConfirmations()
+{
+    if (!this->grantor.awaitsConfirmation(this->world.now) || this->world.now < this->confirmAgainAt)
+        return;
+    this->confirmAgainAt = this->world.now + confirmationRetry;
+    this->armTimer(this->confirmAgainAt);
+    for (const std::string &member : this->unconfirmed) {
+        if (this->confirming.contains(member))
+            continue;
+        const LinkId link = this->requestLink(member);
+        if (!link.isValid())
+            continue;
+        this->confirming.insert(member);
+        this->links.send(link, ExchangeKind::Allowance,
+                         ServerCommand{.kind = CommandKind::Allowance,
+                                       .name = std::string(anyOrganisation),
+                                       .argument = std::string(confirmationWord)});
+        const TimePoint deadline = this->world.now + answerTimeout;
+        this->outstanding[link.packed()].push_back(Outstanding{
+            .request = {.sentAt = this->world.now}, .link = link, .deadline = deadline, .confirming = member});
+        this->armTimer(deadline);
+    }
+}
+
+void RateLimitSystem::confirmationReceived(const std::string &member, std::string_view answer)
+{
+    const auto version = toVersion(answer);
+    if (!version || *version < this->joinedVersion)
+        return;
+    this->unconfirmed.erase(member);
+    if (!this->unconfirmed.empty() || !this->grantor.awaitsConfirmation(this->world.now))
+        return;
+    this->grantor.changeConfirmed(this->world.now);
+    this->world.log(LogLevel::Info, "rate-change-confirmed",
+                    {{"revision", std::to_string(this->joinedVersion.revision)},
+                     {"members", std::to_string(this->members.size())}});
+}
+
+void RateLimitSystem::reportUnanswered(const Outstanding &entry)
+{
+    if (!entry.confirming.empty()) {
+        this->confirming.erase(entry.confirming);
+        return;
+    }
+    this->spender.unanswered(entry.request, this->world.now);
+    this->answered.push_back(entry.request.organisation);
+}
+
 void RateLimitSystem::requestReceived(SessionId session, std::string_view organisation, std::string_view wanted)
 {
+    if (wanted == confirmationWord) {
+        this->world.emit(
+            ReplyToCaller{.session = session,
+                          .reply = CallerReply{.digest = std::to_string(this->membersVersion.era) + ' '
+                                                         + std::to_string(this->membersVersion.revision)}});
+        return;
+    }
     const auto count = toCount(wanted);
     if (organisation.empty() || !count || this->world.role != FleetRole::Member) {
         const bool isInvalid = organisation.empty() || !count;
@@ -213,6 +293,12 @@
     found->second.pop_front();
     if (found->second.empty())
         this->outstanding.erase(found);
+    if (!entry.confirming.empty()) {
+        this->confirming.erase(entry.confirming);
+        if (!completed.exchange.error)
+            this->confirmationReceived(entry.confirming, completed.exchange.digest);
+        return;
+    }
     const auto grant = completed.exchange.error ? std::nullopt : toGrant(completed.exchange.digest);
     if (grant)
         this->spender.granted(entry.request, *grant, this->world.now);
@@ -236,8 +322,9 @@
     });
     for (const Outstanding &entry : lost) {
         if (!entry.expired)
-            this->spender.unanswered(entry.request, this->world.now);
-        this->answered.push_back(entry.request.organisation);
+            this->reportUnanswered(entry);
+        else if (entry.confirming.empty())
+            this->answered.push_back(entry.request.organisation);
     }
     this->sendRequests();
     this->decideAnswered();
@@ -266,10 +353,13 @@
         this->decided(session, RateDecision{.verdict = RateVerdict::Taken});
 }
 
-void RateLimitSystem::membersChanged(const FleetView &view)
+void RateLimitSystem::membersChanged(const MemberView &memberView)
 {
+    const FleetView &view = memberView.fleet();
     if (view.revision() == 0)
         return;
+    this->grantor.viewVerified(memberView.verifiedAt());
+    this->membersVersion = view.memberVersion();
     std::vector<RateMember> serving;
     for (const auto &[instance, member] : view.members()) {
         // A member that restarts keeps its ranks meanwhile, so that those of the others don't change twice.
@@ -279,12 +369,21 @@
     }
     if (serving == this->members)
         return;
+    this->unconfirmed.clear();
+    for (const RateMember &member : serving) {
+        if (member.name != this->world.options.instance)
+            this->unconfirmed.insert(member.name);
+        if (std::find(this->members.begin(), this->members.end(), member) == this->members.end())
+            this->joinedVersion = std::max(this->joinedVersion, view.member(member.name)->version);
+    }
+    this->confirmAgainAt = TimePoint{0};
     this->members = std::move(serving);
     this->ranks.setMembers(this->members);
     const FleetView::Member *own = view.member(this->world.options.instance);
     const bool isListedFromBefore = own != nullptr && own->record.incarnation != this->incarnation;
     this->grantor.setMembers(this->members, isListedFromBefore, this->world.now);
     this->spender.membersChanged();
+    this->requestConfirmations();
     // A member that leaves or has left gets no more requests.
     for (auto entry = this->linkOf.begin(); entry != this->linkOf.end();) {
         const bool serves = std::any_of(this->members.begin(), this->members.end(),
@@ -307,6 +406,7 @@
     this->timerDue.reset();
     this->expireRequests();
     this->refuseLate();
+    this->requestConfirmations();
     this->armNextTimeout();
 }
 
@@ -321,8 +421,7 @@
                 continue;
             entry.expired = true;
             this->world.counters.add("jujubekeel_pool_rate_unanswered_total");
-            this->spender.unanswered(entry.request, this->world.now);
-            this->answered.push_back(entry.request.organisation);
+            this->reportUnanswered(entry);
         }
     }
     for (const LinkId link : silent) {
@@ -353,6 +452,8 @@
 
 void RateLimitSystem::armNextTimeout()
 {
+    if (this->grantor.awaitsConfirmation(this->world.now))
+        this->armTimer(std::max(this->confirmAgainAt, this->world.now));
     for (const auto &[organisation, operations] : this->waiting)
         this->armTimer(operations.front().deadline);
     for (const auto &[packed, requests] : this->outstanding) {
--- a/src/pool/ratelimitsystem.h
+++ b/src/pool/ratelimitsystem.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/storeversion.h"
 #include "core/time.h"
 #include "pool/poolids.h"
 #include "ratelimit/ratedecision.h"
@@ -13,14 +14,15 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace Jujubekeel {
 
-class FleetView;
 class LinkSystem;
+class MemberView;
 struct CompletedExchange;
 struct PoolWorld;
 struct SessionRow;
@@ -56,7 +58,7 @@
     /// Limits may have changed.
     void organisationsChanged();
     /// The members of the fleet may have changed.
-    void membersChanged(const FleetView &view);
+    void membersChanged(const MemberView &view);
     /// Requests and waiting operations whose time is over.
     void checkTimeouts();
     /// Must be called before overdue timers are handled: they show that this process was suspended.
@@ -73,12 +75,18 @@
         RateRequest request;
         LinkId link;
         TimePoint deadline{0};
-        bool expired = false; ///< reported as unanswered; a late answer still counts
+        bool expired = false;        ///< reported as unanswered; a late answer still counts
+        std::string confirming = {}; ///< member that is asked to confirm a change; empty: `request` is sent
     };
 
     void sendRequests();
     /// Sends a request, or reports that it cannot be answered.
     void sendRequest(const RateRequest &request);
+    /// Asks the members that have not confirmed the last change of the members, if a share of this one depends on it.
+    void requestConfirmations();
+    void confirmationReceived(const std::string &member, std::string_view answer);
+    /// The request has ended without an answer.
+    void reportUnanswered(const Outstanding &entry);
     /// The link for requests to a member, opened if there is none; invalid if that is not possible at present.
     [[nodiscard]] LinkId requestLink(const std::string &member);
     /// Reports decisions about operations that waited for the organisation's requests.
@@ -106,8 +114,13 @@
     std::map<std::uint64_t, std::deque<Outstanding>> outstanding;    ///< by packed link, in the order of sending
     std::vector<std::string> answered; ///< organisations whose waiting operations have to be decided
     std::optional<TimePoint> timerDue;
-    TimePoint resumedAt{0};        ///< when a suspension was last noticed
-    std::uint64_t incarnation = 0; ///< of this process
+    StoreVersion membersVersion;       ///< of the view of the members
+    StoreVersion joinedVersion;        ///< of the last registration of a member that joined
+    std::set<std::string> unconfirmed; ///< members that may not know of it
+    std::set<std::string> confirming;  ///< members that are being asked
+    TimePoint confirmAgainAt{0};       ///< they are asked again then
+    TimePoint resumedAt{0};            ///< when a suspension was last noticed
+    std::uint64_t incarnation = 0;     ///< of this process
 };
 
 } // namespace Jujubekeel
--- a/src/ratelimit/rategrantor.cpp
+++ b/src/ratelimit/rategrantor.cpp
@@ -12,28 +12,74 @@
 {
     for (auto &[name, bucket] : this->buckets)
         this->refill(bucket, now);
+    const RateRanks former = this->ranks;
     if (!this->ranks.setMembers(members) && this->hasMembers)
         return;
-    const bool isListed = std::any_of(members.begin(), members.end(), [this](const RateMember &member) {
-        return member.name == this->options.instance;
-    });
+    const bool isListed = this->ranks.contains(this->options.instance);
     const bool wasMember = std::exchange(this->isMember, isListed);
     // The others have counted this member all the while, so nobody has taken its shares.
-    const bool isKnown = !std::exchange(this->hasMembers, true) && this->isMember && isListedFromBefore;
-    this->stableAt = isKnown ? now : now + this->options.stableAfter;
+    const bool wasKnown = std::exchange(this->hasMembers, true);
+    const bool isKnown = !wasKnown && this->isMember && isListedFromBefore;
+    this->isFleetStarting =
+        this->options.isFirstStart && (!wasKnown || (this->isFleetStarting && now < this->stableAt));
+    const bool hasAnyJoined = std::any_of(members.begin(), members.end(),
+                                          [&](const RateMember &member) { return !former.contains(member.name); });
+    const TimePoint stable = isKnown ? now : now + this->options.stableAfter;
+    const TimePoint takeOver = isKnown ? now : now + this->takeOverDelay();
+    this->stableAt = std::max(this->stableAt, stable);
+    if (hasAnyJoined)
+        this->takeOverAt = std::max(this->takeOverAt, takeOver);
     for (auto &[name, bucket] : this->buckets) {
-        const double former = std::exchange(bucket.share, this->shareOf(name));
+        const double formerShare = std::exchange(bucket.share, this->shareOf(name));
         if (isKnown)
             bucket.effectiveShare = bucket.share;
         else if (!wasMember)
-            bucket.effectiveShare = std::min(this->options.startShare, bucket.share);
+            bucket.effectiveShare = std::min(this->joiningShare(), bucket.share);
         else
             bucket.effectiveShare = std::min(bucket.effectiveShare, bucket.share);
         // Members that come and go elsewhere in the order concern other organisations only.
-        if (bucket.share > former || !wasMember)
-            bucket.raiseAt = this->stableAt;
+        const bool isRaised = bucket.share > formerShare;
+        if (!wasMember || (isRaised && this->isAnyDisplaced(name, former)))
+            bucket.takeOverAt = std::max(bucket.takeOverAt, takeOver);
+        else if (isRaised)
+            bucket.stableAt = stable;
+        this->isTakeOverPending = this->isTakeOverPending || bucket.takeOverAt > now;
         bucket.tokens = std::min(bucket.tokens, this->capacity(bucket));
     }
+    this->isTakeOverPending = this->isMember && !isKnown && (this->isTakeOverPending || !wasMember);
+}
+
+void RateGrantor::changeConfirmed(TimePoint now)
+{
+    // What the others have granted before is spent by then.
+    const TimePoint due = now + this->options.grantLifetime;
+    this->isTakeOverPending = false;
+    this->takeOverAt = std::min(this->takeOverAt, due);
+    for (auto &[name, bucket] : this->buckets)
+        bucket.takeOverAt = std::min(bucket.takeOverAt, due);
+}
+
+double RateGrantor::joiningShare() const
+{
+    return this->isFleetStarting ? this->options.startShare : 0;
+}
+
+Duration RateGrantor::takeOverDelay() const
+{
+    return this->isFleetStarting ? this->options.stableAfter : this->options.viewLease + this->options.grantLifetime;
+}
+
+bool RateGrantor::isAnyDisplaced(std::string_view organisation, const RateRanks &former) const
+{
+    const auto before = former.membersOf(organisation);
+    for (std::size_t rank = 0; rank < RateRanks::count; ++rank) {
+        if (before[rank].empty() || !this->ranks.contains(before[rank]))
+            continue;
+        const auto next = this->ranks.rankOf(organisation, before[rank]);
+        if (!next || this->options.shares[*next] < this->options.shares[rank])
+            return true;
+    }
+    return false;
 }
 
 void RateGrantor::setTable(const OrganisationTable &table, TimePoint now)
@@ -51,10 +97,10 @@
         if (added) {
             bucket.refilledAt = now;
             bucket.share = this->shareOf(name);
-            bucket.effectiveShare =
-                this->isStable(now) ? bucket.share : std::min(bucket.share, this->options.startShare);
+            bucket.effectiveShare = this->isStable(now) ? bucket.share : std::min(bucket.share, this->joiningShare());
             bucket.effectiveLimit = limit;
-            bucket.raiseAt = this->stableAt;
+            bucket.stableAt = this->stableAt;
+            bucket.takeOverAt = this->takeOverAt;
         }
         this->refill(bucket, now);
         bucket.limit = limit;
@@ -69,7 +115,7 @@
 {
     this->stableAt = now + this->options.stableAfter;
     for (auto &[name, bucket] : this->buckets) {
-        bucket.raiseAt = this->stableAt;
+        bucket.stableAt = this->stableAt;
         bucket.tokens = 0;
         bucket.refilledAt = now;
         bucket.effectiveShare = std::min(bucket.effectiveShare, this->options.startShare);
@@ -81,6 +127,9 @@
     const auto found = this->buckets.find(organisation);
     if (found == this->buckets.end())
         return RateGrant{.granted = 0, .retryAfter = this->options.maxRetry};
+    // Another member may have taken the share over.
+    if (now - this->verifiedAt >= this->options.viewLease)
+        return RateGrant{.granted = 0, .retryAfter = this->options.maxRetry};
     Bucket &bucket = found->second;
     this->refill(bucket, now);
     RateGrant answer{.granted = std::min(wanted, static_cast<std::uint32_t>(bucket.tokens))};
@@ -106,7 +155,7 @@
         this->refillUntil(bucket, now);
         return;
     }
-    this->refillUntil(bucket, std::min(now, std::max(bucket.raiseAt, bucket.refilledAt)));
+    this->refillUntil(bucket, std::min(now, std::max(bucket.raiseAt(), bucket.refilledAt)));
     bucket.effectiveShare = bucket.share;
     bucket.effectiveLimit = bucket.limit;
     this->refillUntil(bucket, now);
--- a/src/ratelimit/rateranks.cpp
+++ b/src/ratelimit/rateranks.cpp
@@ -77,6 +77,12 @@
     return names;
 }
 
+bool RateRanks::contains(std::string_view name) const
+{
+    return std::any_of(this->members.begin(), this->members.end(),
+                       [&](const Member &member) { return member.identity.name == name; });
+}
+
 std::optional<std::size_t> RateRanks::rankOf(std::string_view organisation, std::string_view name) const
 {
     const auto names = this->membersOf(organisation);
--- a/src/ratelimit/rateranks.h
+++ b/src/ratelimit/rateranks.h
@@ -31,6 +31,7 @@
     /// that instances of one region do not all ask the same one.
     [[nodiscard]] std::array<std::string_view, count> askOrder(std::string_view organisation,
                                                                const RateMember &instance) const;
+    [[nodiscard]] bool contains(std::string_view name) const;
     /// Empty if \a name is not one of the three.
     [[nodiscard]] std::optional<std::size_t> rankOf(std::string_view organisation, std::string_view name) const;
 
--- a/tests/pool/ratelimittest.cpp
+++ b/tests/pool/ratelimittest.cpp
@@ -26,9 +26,9 @@
 class LimitedPool
 {
 public:
-    explicit LimitedPool(std::uint64_t seed = 1)
+    explicit LimitedPool(std::uint64_t seed = 1) : LimitedPool(seed, largeFleetOptions(seed)) {}
+    LimitedPool(std::uint64_t seed, VirtualPoolOptions options)
         : pool([&] {
-              VirtualPoolOptions options = largeFleetOptions(seed);
               options.namedOrganisations = organisations(acmeLimit);
               return options;
           }()),
@@ -335,6 +335,88 @@
 {
 };
 
+/// Seven members, one of which joins after the others and takes the place of another one in granting operations of `acme`.
+struct JoiningMember
+{
+    JoiningMember()
+        : run(1, [] {
+              VirtualPoolOptions options{.instances = 7, .relays = true};
+              options.pool.minMembers = 9;
+              options.pool.maxMembers = 9;
+              return options;
+          }())
+    {
+        while (!this->findDisplaced())
+            ++this->joining;
+        this->run.pool.requestStop(this->joining);
+        this->run.pool.run(seconds(8));
+    }
+    bool findDisplaced()
+    {
+        RateRanks with;
+        RateRanks without;
+        std::vector<RateMember> members;
+        for (std::size_t instance = 0; instance < this->run.pool.instanceCount(); ++instance)
+            members.push_back(
+                {.name = "i" + std::to_string(instance), .region = this->run.pool.instanceDomain(instance)});
+        with.setMembers(members);
+        members.erase(members.begin() + static_cast<std::ptrdiff_t>(this->joining));
+        without.setMembers(members);
+        for (const std::string_view name : without.membersOf("acme")) {
+            if (!with.rankOf("acme", name)) {
+                this->displaced = std::stoul(std::string(name.substr(1)));
+                return true;
+            }
+        }
+        return false;
+    }
+    void finish()
+    {
+        this->run.offer("acme", 7 * usual * 40, seconds(14));
+        this->run.pool.run(milliseconds(500));
+        this->run.pool.startInstance(this->joining);
+        this->run.pool.run(seconds(16));
+        EXPECT_FALSE(this->run.pool.core(this->joining)->state().isRelaying());
+        EXPECT_LE(this->run.mostInWindow("acme"), LimitedPool::windowBound(acmeLimit));
+        EXPECT_GT(this->run.count("acme", TimePoint{0}, true), 14U * 40 * 2 / 3);
+    }
+
+    LimitedPool run;
+    std::size_t joining = 0;
+    std::size_t displaced = 0;
+};
+
+// Guards against a share of the limit that two members grant: the store turns the one away that has lost it, so that it does
+// not learn of the member that joined (review case 15).
+TEST(RateLimit, TurnedAwayMemberLearnsFromOthersThatItsShareIsTaken)
+{
+    JoiningMember test;
+    test.run.pool.setStoreReachable(test.displaced, false);
+    test.run.pool.at(seconds(9), [&] { test.run.pool.setStoreReachable(test.displaced, true); });
+    test.finish();
+    const std::string event = "i" + std::to_string(test.joining) + " rate-change-confirmed";
+    const auto &lines = test.run.pool.logLines();
+    EXPECT_TRUE(std::any_of(lines.begin(), lines.end(), [&](const std::string &line) {
+        return line.starts_with(event);
+    })) << "its share waits for the end of an older right";
+}
+
+// Guards against the same if no instance reaches the member either.
+TEST(RateLimit, ShareOfAnIsolatedMemberIsTakenOverAfterItsRightHasEnded)
+{
+    JoiningMember test;
+    const auto setIsolated = [&](bool isolated) {
+        test.run.pool.setStoreReachable(test.displaced, !isolated);
+        for (std::size_t other = 0; other < test.run.pool.instanceCount(); ++other) {
+            if (other != test.displaced)
+                test.run.pool.isolateInstances(test.displaced, other, isolated);
+        }
+    };
+    setIsolated(true);
+    test.run.pool.at(seconds(12), [&] { setIsolated(false); });
+    test.finish();
+}
+
 // Guards against the limit being exceeded by the sum of all instances while instances, the store or connections fail,
 // and against operations that never get an answer.
 TEST_P(RateLimitFaults, LimitHolds)
--- a/tests/ratelimit/rategrantortest.cpp
+++ b/tests/ratelimit/rategrantortest.cpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Jujubekeel {
@@ -53,14 +54,23 @@
     return RateGrantorOptions{.instance = instance,
                               .shares = unequalShares,
                               .burstPart = 0,
+                              .isFirstStart = true,
                               .capacityTime = milliseconds(500),
                               .minRetry = milliseconds(20)};
 }
 
+/// A grantor whose view of the members is always up to date.
+RateGrantor verifiedGrantor(RateGrantorOptions chosen)
+{
+    RateGrantor grantor(std::move(chosen));
+    grantor.viewVerified(std::chrono::hours(1));
+    return grantor;
+}
+
 /// Grantor of a rank, with a view that has been stable since 0 s, at 3 s and with an empty bucket.
 RateGrantor stableGrantor(std::size_t rank, double rate = 100, double burst = 100)
 {
-    RateGrantor grantor(options(memberOfRank(rank)));
+    RateGrantor grantor = verifiedGrantor(options(memberOfRank(rank)));
     grantor.setMembers(inOneRegion(names), false, seconds(0));
     grantor.setTable(tableWith(rate, burst), seconds(0));
     (void)grantor.grant("acme", 1000, seconds(3));
@@ -85,7 +95,8 @@
     for (const std::string &name : names) {
         if (name == memberOfRank(0) || name == memberOfRank(1) || name == memberOfRank(2))
             continue;
-        RateGrantor grantor({.instance = name, .burstPart = 0, .capacityTime = milliseconds(500)});
+        RateGrantor grantor = verifiedGrantor(
+            {.instance = name, .burstPart = 0, .isFirstStart = true, .capacityTime = milliseconds(500)});
         grantor.setMembers(inOneRegion(names), false, seconds(0));
         grantor.setTable(tableWith(100, 100), seconds(0));
         EXPECT_EQ(grantor.grant("acme", 10, seconds(10)).granted, 0U);
@@ -112,7 +123,8 @@
         few.push_back(name);
         std::uint32_t granted = 0;
         for (const std::string &member : few) {
-            RateGrantor grantor({.instance = member, .burstPart = 0, .capacityTime = milliseconds(500)});
+            RateGrantor grantor = verifiedGrantor(
+                {.instance = member, .burstPart = 0, .isFirstStart = true, .capacityTime = milliseconds(500)});
             grantor.setMembers(inOneRegion(few), false, seconds(0));
             grantor.setTable(tableWith(100, 100), seconds(0));
             (void)grantor.grant("acme", 1000, seconds(3));
@@ -127,18 +139,18 @@
 {
     std::vector<std::string> others = names;
     std::erase(others, memberOfRank(0));
-    RateGrantor grantor(options(memberOfRank(0)));
+    RateGrantor grantor = verifiedGrantor(options(memberOfRank(0)));
     grantor.setTable(tableWith(100, 100), seconds(0));
     grantor.setMembers(inOneRegion(others), false, seconds(0));
-    EXPECT_EQ(grantedAfter(grantor, seconds(0), seconds(9)), 0U);
-    grantor.setMembers(inOneRegion(names), false, seconds(10));
-    EXPECT_NEAR(grantedAfter(grantor, seconds(10), milliseconds(1950)), 29, 1);
+    EXPECT_EQ(grantedAfter(grantor, seconds(0), milliseconds(900)), 0U);
+    grantor.setMembers(inOneRegion(names), false, seconds(1));
+    EXPECT_NEAR(grantedAfter(grantor, seconds(1), milliseconds(1950)), 29, 1);
 }
 
 // Guards against a bucket that fills while the process is suspended.
 TEST(RateGrantor, BucketStartsEmptyAndHasACapacity)
 {
-    RateGrantor grantor(options(memberOfRank(0)));
+    RateGrantor grantor = verifiedGrantor(options(memberOfRank(0)));
     grantor.setMembers(inOneRegion(names), false, seconds(0));
     grantor.setTable(tableWith(100, 100), seconds(0));
     EXPECT_EQ(grantor.grant("acme", 10, seconds(0)).granted, 0U);
@@ -152,7 +164,7 @@
 // Guards against members that have just started, all at once, granting the rate several times.
 TEST(RateGrantor, StartsWithTheSmallShareUntilTheViewIsStable)
 {
-    RateGrantor grantor(options(memberOfRank(0)));
+    RateGrantor grantor = verifiedGrantor(options(memberOfRank(0)));
     grantor.setMembers(inOneRegion(names), false, seconds(0));
     grantor.setTable(tableWith(100, 100), seconds(0));
     EXPECT_NEAR(grantedAfter(grantor, seconds(0), milliseconds(1950)), 29, 1);
@@ -181,6 +193,84 @@
         << "a full bucket of the small share, and its refill";
 }
 
+// Guards against a share that two members grant: the one that lost it is still listed, and has not learned of that because
+// the store turns it away (review case 15).
+TEST(RateGrantor, ShareOfAListedMemberIsTakenOverWhenItsRightHasEnded)
+{
+    std::vector<std::string> without = names;
+    std::erase(without, memberOfRank(0));
+    const auto grantorOf = [](const std::string &instance) {
+        RateGrantorOptions chosen = options(instance);
+        chosen.isFirstStart = false;
+        return RateGrantor(chosen);
+    };
+    RateGrantor joining = grantorOf(memberOfRank(0));
+    joining.viewVerified(std::chrono::hours(1));
+    joining.setMembers(inOneRegion(names), false, seconds(20));
+    joining.setTable(tableWith(100, 100), seconds(20));
+    RateGrantor displaced = grantorOf(memberOfRank(0, without));
+    displaced.setMembers(inOneRegion(without), true, seconds(10));
+    displaced.setTable(tableWith(100, 100), seconds(10));
+    displaced.viewVerified(seconds(20));
+    EXPECT_GT(displaced.grant("acme", 1, milliseconds(25'999)).granted, 0U);
+    EXPECT_EQ(displaced.grant("acme", 1, milliseconds(26'000)).granted, 0U);
+    (void)joining.grant("acme", 1000, milliseconds(26'499));
+    EXPECT_NEAR(grantedAfter(joining, milliseconds(26'500), seconds(1)), 70, 2);
+    RateGrantor early = grantorOf(memberOfRank(0));
+    early.viewVerified(std::chrono::hours(1));
+    early.setMembers(inOneRegion(names), false, seconds(20));
+    early.setTable(tableWith(100, 100), seconds(20));
+    EXPECT_EQ(grantedAfter(early, seconds(20), milliseconds(6450)), 0U);
+    // Once the view is verified again, the right goes on.
+    displaced.viewVerified(seconds(27));
+    EXPECT_GT(displaced.grant("acme", 1, seconds(28)).granted, 0U);
+}
+
+// Guards against a share that is missing for seconds although the member that lost it has confirmed the change.
+TEST(RateGrantor, ShareIsTakenOverSoonIfTheOthersConfirmTheChange)
+{
+    RateGrantorOptions chosen = options(memberOfRank(0));
+    chosen.isFirstStart = false;
+    RateGrantor grantor = verifiedGrantor(chosen);
+    grantor.setTable(tableWith(100, 100), seconds(10));
+    EXPECT_FALSE(grantor.awaitsConfirmation(seconds(10)));
+    grantor.setMembers(inOneRegion(names), false, seconds(10));
+    EXPECT_TRUE(grantor.awaitsConfirmation(seconds(11)));
+    grantor.changeConfirmed(seconds(11));
+    EXPECT_FALSE(grantor.awaitsConfirmation(seconds(11)));
+    // What the others had granted must have been spent.
+    EXPECT_EQ(grantedAfter(grantor, seconds(11), milliseconds(450)), 0U);
+    EXPECT_NEAR(grantedAfter(grantor, milliseconds(11'500), seconds(1)), 70, 2);
+}
+
+// Guards against a pause of the process that ends the wait for a member that may still hold the share.
+TEST(RateGrantor, SuspensionDoesNotShortenTheTakeOver)
+{
+    RateGrantorOptions chosen = options(memberOfRank(0));
+    chosen.isFirstStart = false;
+    RateGrantor grantor = verifiedGrantor(chosen);
+    grantor.setMembers(inOneRegion(names), false, seconds(10));
+    grantor.setTable(tableWith(100, 100), seconds(10));
+    grantor.resumed(seconds(12));
+    EXPECT_EQ(grantedAfter(grantor, seconds(12), milliseconds(4450)), 0U);
+    EXPECT_GT(grantedAfter(grantor, milliseconds(16'500), seconds(1)), 0U);
+}
+
+// Guards against a share that is missing for longer than views of the members differ although its holder has left.
+TEST(RateGrantor, ShareOfAMemberThatLeftIsTakenOverSoon)
+{
+    std::vector<std::string> without = names;
+    std::erase(without, memberOfRank(0));
+    RateGrantorOptions chosen = options(memberOfRank(0, without));
+    chosen.isFirstStart = false;
+    RateGrantor grantor = verifiedGrantor(chosen);
+    grantor.setMembers(inOneRegion(names), true, seconds(0));
+    grantor.setTable(tableWith(100, 100), seconds(0));
+    grantor.setMembers(inOneRegion(without), false, seconds(10));
+    (void)grantor.grant("acme", 1000, seconds(12));
+    EXPECT_NEAR(grantedAfter(grantor, seconds(12), seconds(1)), 70, 2);
+}
+
 // Guards against a member that was suspended granting the share of a rank that another one has taken over.
 TEST(RateGrantor, ResumedMemberStartsAgain)
 {
--- a/tests/ratelimit/ratemodel.h
+++ b/tests/ratelimit/ratemodel.h
@@ -54,7 +54,7 @@
         this->spenders.resize(this->options.spenders);
         this->limits.push_back({TimePoint{0}, this->options.limit});
         for (std::size_t index = 0; index < this->members.size(); ++index)
-            this->startMember(index);
+            this->startMember(index, false);
         for (std::size_t index = 0; index < this->spenders.size(); ++index)
             this->startSpender(index);
         this->nextOperation();
@@ -87,8 +87,9 @@
         this->at(down, [this, index, life = member.life] {
             if (this->members[index].life != life)
                 return;
+            const bool isListed = this->serving.contains(this->members[index].name);
             this->setServing(this->members[index].name, true);
-            this->startMember(index);
+            this->startMember(index, isListed);
         });
     }
     void restartSpender(std::size_t index)
@@ -109,6 +110,12 @@
         Spender &spender = this->spenders[index];
         spender.frozenUntil = std::max(spender.frozenUntil, this->now + duration);
     }
+    /// The member does not learn of changes of the membership for a time, while the others do.
+    void turnAwayMember(std::size_t index, Duration duration)
+    {
+        Member &member = this->members[index];
+        member.awayUntil = std::max(member.awayUntil, this->now + duration);
+    }
     void unlistMember(std::size_t index) { this->setServing(this->members[index].name, false); }
     void listMember(std::size_t index) { this->setServing(this->members[index].name, true); }
     /// The member does not reach the instances whose number has the given remainder modulo 3.
@@ -180,6 +187,7 @@
         std::size_t table = 0;
         TimePoint frozenUntil{0};
         TimePoint wasFrozenUntil{0}; ///< the last suspension that the member has noticed
+        TimePoint awayUntil{0};
         std::size_t cutFrom = 0;
         TimePoint cutUntil{0};
     };
@@ -200,6 +208,7 @@
     };
 
     static constexpr std::string_view organisation = "acme";
+    static constexpr Duration verification = std::chrono::milliseconds(500); ///< between two answers of the store
 
     Duration upTo(Duration longest)
     {
@@ -245,8 +254,7 @@
         const std::vector<RateMember> view = this->servingMembers();
         for (std::size_t index = 0; index < this->members.size(); ++index)
             this->at(this->upTo(this->options.maxViewLag), [this, index, version, view] {
-                this->whenAwake(this->members[index],
-                                [this, index, version, view] { this->show(index, version, view); });
+                this->whenInTouch(index, [this, index, version, view] { this->show(index, version, view); });
             });
         for (std::size_t index = 0; index < this->spenders.size(); ++index)
             this->at(this->upTo(this->options.maxViewLag), [this, index, version, view] {
@@ -260,25 +268,62 @@
                 });
             });
     }
-    void show(std::size_t index, std::uint64_t version, const std::vector<RateMember> &view)
+    void show(std::size_t index, std::uint64_t version, const std::vector<RateMember> &view, bool isListed = false)
     {
         Member &member = this->members[index];
         if (!member.grantor || version <= member.seen)
             return;
         member.seen = version;
         this->notice(member);
-        member.grantor->setMembers(view, false, this->now);
+        member.grantor->setMembers(view, isListed, this->now);
+    }
+    /// Runs \a work once the member neither is frozen nor turned away by the store.
+    void whenInTouch(std::size_t index, const std::function<void()> &work)
+    {
+        const Member &member = this->members[index];
+        if (member.awayUntil <= this->now)
+            this->whenAwake(member, work);
+        else
+            this->at(member.awayUntil - this->now, [this, index, work] { this->whenInTouch(index, work); });
+    }
+    /// The listed members answer whether they have seen what the member has seen.
+    void confirm(Member &member)
+    {
+        if (!member.grantor->awaitsConfirmation(this->now))
+            return;
+        const bool haveAllSeen = std::all_of(this->members.begin(), this->members.end(), [&](const Member &other) {
+            const bool answers = other.grantor && other.frozenUntil <= this->now && other.cutUntil <= this->now;
+            return !this->serving.contains(other.name) || (answers && other.seen >= member.seen);
+        });
+        if (haveAllSeen)
+            member.grantor->changeConfirmed(this->now);
+    }
+    /// The store has shown the member all changes up to the longest delay ago.
+    void verify(std::size_t index, std::uint64_t life)
+    {
+        const TimePoint verifiedAt = this->now - this->options.maxViewLag;
+        Member &member = this->members[index];
+        if (!member.grantor || member.life != life)
+            return;
+        if (member.awayUntil <= this->now && member.frozenUntil <= this->now)
+            member.grantor->viewVerified(verifiedAt);
+        this->confirm(member);
+        this->at(verification, [this, index, life] { this->verify(index, life); });
     }
-    void startMember(std::size_t index)
+    /// \a isListed: the registration of before its restart is still there.
+    void startMember(std::size_t index, bool isListed)
     {
         Member &member = this->members[index];
-        member.grantor.emplace(RateGrantorOptions{.instance = member.name});
+        member.awayUntil = TimePoint{0};
+        member.grantor.emplace(RateGrantorOptions{.instance = member.name, .isFirstStart = this->now == TimePoint{0}});
+        member.grantor->viewVerified(this->now);
+        this->at(verification, [this, index, life = member.life] { this->verify(index, life); });
         member.frozenUntil = TimePoint{0};
         member.wasFrozenUntil = TimePoint{0};
         member.seen = 0;
         member.table = 0;
         const std::vector<RateMember> view = this->servingMembers();
-        this->show(index, this->membership, view);
+        this->show(index, this->membership, view, isListed);
         this->applyLimit(index, this->limits.size());
     }
     void startSpender(std::size_t index)
--- a/tests/ratelimit/ratepropertytest.cpp
+++ b/tests/ratelimit/ratepropertytest.cpp
@@ -87,6 +87,24 @@
     }
 }
 
+/// A member does not learn that another one joins or leaves.
+void injectTurnedAwayMember(RateModel &model, SeededRandom &random, std::size_t members)
+{
+    if (members == 1 || random.chance(50))
+        return;
+    const std::size_t member = random.below(members);
+    const std::size_t other = (member + 1 + random.below(members - 1)) % members;
+    const Duration away(static_cast<std::int64_t>(500'000 + random.below(8'500'000)));
+    const bool joins = random.chance(70);
+    const Duration start = milliseconds(random.below(3000));
+    if (joins)
+        model.at(start, [&model, other] { model.unlistMember(other); });
+    model.at(start + milliseconds(1500 + random.below(1500)),
+             [&model, member, away] { model.turnAwayMember(member, away); });
+    model.at(start + milliseconds(3000 + random.below(3000)),
+             [&model, other, joins] { joins ? model.listMember(other) : model.unlistMember(other); });
+}
+
 std::string checkSeed(std::uint64_t seed, std::size_t &wronglyRefused, std::size_t &offered, std::size_t &ran)
 {
     SeededRandom random(seed);
@@ -107,6 +125,8 @@
                      injectFault(model, own, members, spenders);
                  });
     }
+    SeededRandom away(seed * 37);
+    injectTurnedAwayMember(model, away, options.members);
     // Demand that ends and returns leaves full buckets and granted operations behind.
     for (int change = 0; change < 3; ++change) {
         const double factor = random.chance(40) ? 0 : evenIn(random, 0.3, 10);
@@ -141,6 +161,30 @@
               << wronglyRefused << " of " << offered << " operations were refused\n";
 }
 
+// Guards against operations that run on a former, higher limit while members' answers are lost.
+TEST(RateProperty, LoweredLimitHoldsWhileAnswersAreLost)
+{
+    std::size_t violations = 0;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        RateModel model({.seed = seed,
+                         .members = 7,
+                         .spenders = 30,
+                         .limit = RateLimit{.operationsPerSecond = 157, .burst = 0},
+                         .demand = 4});
+        model.run(seconds(3));
+        model.setLimit(RateLimit{.operationsPerSecond = 1.4, .burst = 0});
+        model.setDemand(0);
+        model.run(seconds(5));
+        model.setLoss(60, milliseconds(800));
+        model.setDemand(4);
+        model.run(seconds(3));
+        const std::string violation = model.violation();
+        if (!violation.empty() && ++violations <= 3)
+            ADD_FAILURE() << "seed " << seed << ": " << violation;
+    }
+    EXPECT_EQ(violations, 0U);
+}
+
 struct HealthyCase
 {
     double rate;
