Feed: reports of members replace the fleet view of relaying instances only

Found by reading the diff: since members ask the feed for the members too, a report reached RegistrationSystem on an instance that is not registered at the moment but does not relay either, and the request named the versions of another view than the one that a relaying instance replaces. Two callbacks now, and the versions of the view that the report is for.

--- a/src/pool/feedsubscriber.cpp
+++ b/src/pool/feedsubscriber.cpp
@@ -98,7 +98,7 @@
 {
     this->link = freeLink;
     this->source = this->world.servers.at(this->world.links.at(freeLink).server).entry.id;
-    const FleetView &view = this->members.fleet();
+    const FleetView &view = this->replacesFleetView() ? this->registration.fleet() : this->members.fleet();
     const bool wantsDifferences = this->world.options.feedDifferences && !this->wantsWholeTables;
     const FeedRequest request{.routeVersion = this->world.routes ? this->world.routes->version() : 0,
                               .organisationVersion =
@@ -135,12 +135,16 @@
     const TimePoint verified = exchange.sentAt + update->verifiedAfter;
     // A request that is sent before the tables are in force would be answered with the same tables again.
     this->applying = true;
-    if (update->members)
-        this->callbacks.members(FleetUpdate{.complete = true,
-                                            .reported = true,
-                                            .objects = *update->members,
-                                            .revision = update->memberRevision,
-                                            .era = update->memberEra});
+    if (update->members) {
+        const FleetUpdate report{.complete = true,
+                                 .reported = true,
+                                 .objects = *update->members,
+                                 .revision = update->memberRevision,
+                                 .era = update->memberEra};
+        this->callbacks.members(report);
+        if (this->replacesFleetView())
+            this->callbacks.fleet(report);
+    }
     this->callbacks.confirmed(verified);
     this->applyTables(*update);
     this->applying = false;
--- a/src/pool/feedsubscriber.h
+++ b/src/pool/feedsubscriber.h
@@ -32,6 +32,8 @@
     {
         std::function<void(std::shared_ptr<const RouteTable> routes)> routes;
         std::function<void(const std::shared_ptr<const OrganisationTable> &organisations)> organisations;
+        /// Replaces this instance's view of the fleet.
+        std::function<void(const FleetUpdate &update)> fleet;
         std::function<void(const FleetUpdate &update)> members;
         /// The store showed the members that this instance knows at \a verifiedAt.
         std::function<void(TimePoint verifiedAt)> confirmed;
--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -40,7 +40,8 @@
                    this->organisationSystem.organisationsChanged();
                    this->feedPublisher.publish();
                },
-           .members = [this](const FleetUpdate &update) { this->membersReported(update); },
+           .fleet = [this](const FleetUpdate &update) { this->membersReported(update); },
+           .members = [this](const FleetUpdate &update) { this->memberView.reported(update, this->world.now); },
            .confirmed =
                [this](TimePoint verifiedAt) {
                    this->memberView.confirmed(verifiedAt);
@@ -286,7 +287,6 @@
 
 void PoolCore::membersReported(const FleetUpdate &update)
 {
-    this->memberView.reported(update, this->world.now);
     this->registration.membersReported(update);
     this->registration.publish();
     this->fleetChanged();
