Choice of a primary: the present primary is not promoted again if no record names its promotion

Cause: with synchronous replicas any server could be chosen by its log. One that leads the newest term without a record is the platform's present primary; promoting it changes nothing, its term does not rise, so that the replacement chose it again every 5.5 s.

Change: such a server is compared with the others, as its log may hold what was acknowledged, but not chosen. Its replicas receive what it holds, and one of them is.

--- a/src/leadership/candidatechoice.cpp
+++ b/src/leadership/candidatechoice.cpp
@@ -7,12 +7,21 @@
 
 namespace {
 
+/// Calls itself primary of the newest term, without a record of its promotion. The platform does not promote the present
+/// primary again, so that its term would not rise. Its replicas receive what it holds, and one of them can be chosen.
+bool leadsWithoutRecord(const CandidateState &candidate)
+{
+    return candidate.isStalePrimary && !candidate.isOutdated;
+}
+
 /// Proof that \a candidate, which has answered, holds every acknowledged commit; None if there is none.
 ChoiceProof findProof(std::span<const CandidateState> candidates, const CandidateState &candidate,
                       const CandidateConditions &conditions)
 {
     if (candidate.hasTakenOver)
         return ChoiceProof::TakenOver;
+    if (leadsWithoutRecord(candidate))
+        return ChoiceProof::None;
     const LogPosition received = candidate.status->received;
     if (conditions.seenByAll && conditions.seen != LogPosition{} && received >= conditions.seen)
         return ChoiceProof::LogEnd;
@@ -46,7 +55,7 @@
 CandidateChoice chooseSafeCandidate(std::span<const CandidateState> candidates, const CandidateConditions &conditions)
 {
     const auto rank = [](const CandidateState &candidate) {
-        return std::tuple(candidate.hasTakenOver, candidate.status->received);
+        return std::tuple(candidate.hasTakenOver, !leadsWithoutRecord(candidate), candidate.status->received);
     };
     // A draining server may be the only one that holds all commits.
     for (const bool withDraining : {false, true}) {
--- a/src/leadership/candidatechoice.h
+++ b/src/leadership/candidatechoice.h
@@ -71,8 +71,8 @@
 /// primary lacks it. Of two logs, the one with the later last entry (by term, then by position) therefore holds every
 /// acknowledged commit that the other one holds, whatever roles their servers have. A candidate is chosen only with a
 /// proof: its log reaches the end that the instances have seen, or it is the latest of so many that fewer than n servers
-/// are left out. Otherwise there is no bound, because a choice would lose commits; a changed configuration takes effect at
-/// once.
+/// are left out. A server that leads the newest term without a record is compared, but not chosen. Otherwise there is no
+/// bound, because a choice would lose commits; a changed configuration takes effect at once.
 [[nodiscard]] CandidateChoice chooseCandidate(std::span<const CandidateState> candidates,
                                               const CandidateConditions &conditions);
 
--- a/tests/leadership/candidatechoicetest.cpp
+++ b/tests/leadership/candidatechoicetest.cpp
@@ -133,6 +133,17 @@
     EXPECT_EQ(chosen({silent("a"), former}, given), "f");
 }
 
+// Guards against a replacement without end: the platform does not promote its present primary again, so that a server that
+// leads the newest term, but whose promotion no record names, never takes over.
+TEST(CandidateChoice, PresentPrimaryWithoutARecordIsNotPromotedAgain)
+{
+    CandidateState present = answered("p", 50);
+    present.isStalePrimary = true;
+    EXPECT_EQ(chosen({present}, conditions(1, milliseconds(0))), "");
+    EXPECT_EQ(chosen({answered("a", 5), present}, conditions(1, milliseconds(0))), "") << "it may hold more than a";
+    EXPECT_EQ(chosen({answered("a", 50), present}, conditions(1, milliseconds(0))), "a");
+}
+
 // Guards against a choice that cannot be explained afterwards: the result names its proof.
 TEST(CandidateChoice, ResultNamesItsProof)
 {
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -745,7 +745,8 @@
     EXPECT_EQ(joined(runRandomFaults(GetParam(), options, faults).violations), "");
 }
 
-INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenServers, testing::Values<std::uint64_t>(94000284, 94001363));
+// With 933818 a server that led without a record was promoted again and again.
+INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenServers, testing::Values<std::uint64_t>(94000284, 94001363, 933818));
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousFaults, testing::Range<std::uint64_t>(1, 41));
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, SynchronousFaults,
                          testing::Values<std::uint64_t>(10021, 10328, 10473, 10494, 10783, 10851));
