Finding a forgotten primary: with synchronous replicas no unlisted server may be left

Change: while a server is unlisted and may hold commits, nobody is found to lead; the replacement is announced and a server chosen with a proof. Without synchronous replicas nothing changes.

--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -361,10 +361,13 @@
         std::all_of(candidates.begin(), candidates.end(), [](const auto &candidate) { return candidate.status; });
     if (!allAnswered && this->world.now - replacement.stepAt < this->options.evidenceWait)
         return true;
-    // A server that leads the newest term of all replaced the others. One that does not answer may lead a newer term.
+    // A server that leads the newest term of all replaced the others. One that does not answer may lead a newer term, also
+    // one that is not listed; which ones there are is known only with synchronous replicas.
+    const bool isAnyUnlisted =
+        this->world.syncReplicas(service.name) > 0 && this->group.countUnlisted(id, std::string_view()) > 0;
     const auto leads = [](const CandidateState &candidate) { return candidate.hasTakenOver; };
     const auto leader = std::find_if(candidates.begin(), candidates.end(), leads);
-    if (allAnswered && leader != candidates.end()) {
+    if (allAnswered && !isAnyUnlisted && leader != candidates.end()) {
         this->world.log(LogLevel::Info, "primary-found",
                         {{"service", service.name},
                          {"primary", leader->id},
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -746,6 +746,21 @@
 }
 
 // With 933818 a server that led without a record was promoted again and again.
+class ForgottenPrimaries : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against a former primary that is found to lead while its successor, whose promotion the store has forgotten, is not
+// listed.
+TEST_P(ForgottenPrimaries, AreNotOverlooked)
+{
+    VirtualPoolOptions options;
+    options.group.syncReplicas = 1;
+    const PoolFaultOptions faults{.restoredStore = true, .returningPrimary = true};
+    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, faults).violations), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenPrimaries, testing::Values<std::uint64_t>(950423));
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenServers, testing::Values<std::uint64_t>(94000284, 94001363, 933818));
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousFaults, testing::Range<std::uint64_t>(1, 41));
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, SynchronousFaults,
