--- a/src/virtualpool/poolfaults.cpp
+++ b/src/virtualpool/poolfaults.cpp
@@ -18,15 +18,40 @@
 constexpr std::uint64_t faultWindowMs = 10000;
 constexpr std::uint64_t maxFaults = 5;
 
+/// A delay from \a from to below \a below, in milliseconds.
+Duration drawDelay(SeededRandom &random, std::uint64_t from, std::uint64_t below)
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
+}
+
+/// Servers of the first group by their part in a fault, which depends on who leads when the fault begins.
+struct FaultRoles
+{
+    std::size_t primary = 0;
+    std::size_t behind = 0; ///< replica that receives nothing
+    std::size_t other = 0;  ///< the other replica
+};
+
+/// \a distance: from the primary to the replica that is behind, 1 or 2.
+FaultRoles assignRoles(VirtualPool &pool, std::size_t distance)
+{
+    const std::size_t size = pool.group().size();
+    const std::size_t primary = pool.group().history().promotions.back().server;
+    return {.primary = primary, .behind = (primary + distance) % size, .other = (primary + size - distance) % size};
+}
+
+void setBehind(VirtualPool &pool, const FaultRoles &roles)
+{
+    pool.note("replica behind server=" + std::to_string(roles.behind));
+    pool.group().setReplicationIsolated(roles.behind, true);
+}
+
 /// Takes a copy of the store, which returns from it up to 8 s later.
 void scheduleRestoration(VirtualPool &pool, SeededRandom &random)
 {
-    const auto draw = [&](std::uint64_t from, std::uint64_t below) {
-        return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
-    };
-    const Duration copyAt = draw(0, 7000);
-    const Duration outageAt = copyAt + draw(200, 6000);
-    const Duration outage = draw(100, 2500);
+    const Duration copyAt = drawDelay(random, 0, 7000);
+    const Duration outageAt = copyAt + drawDelay(random, 200, 6000);
+    const Duration outage = drawDelay(random, 100, 2500);
     pool.at(copyAt, [&pool] {
         pool.note("store copied");
         pool.store().takeCopy();
@@ -45,38 +70,26 @@
 /// instance restarts.
 void scheduleCrash(VirtualPool &pool, SeededRandom &random)
 {
-    const auto draw = [&](std::uint64_t from, std::uint64_t below) {
-        return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
-    };
-    const Duration start = draw(0, 7000);
-    const Duration crash = start + draw(50, 3000);
-    const Duration restart = crash + draw(20, 1500);
-    const Duration end = crash + draw(500, 6000);
+    const Duration start = drawDelay(random, 0, 7000);
+    const Duration crash = start + drawDelay(random, 50, 3000);
+    const Duration restart = crash + drawDelay(random, 20, 1500);
+    const Duration end = crash + drawDelay(random, 500, 6000);
     const std::size_t instance = random.below(pool.instanceCount());
-    const std::size_t behind = 1 + random.below(2);
-    struct Roles
-    {
-        std::size_t primary = 0;
-        std::size_t behind = 0;
-        std::size_t busy = 0;
-    };
-    const auto roles = std::make_shared<Roles>();
-    pool.at(start, [&pool, roles, behind] {
-        roles->primary = pool.group().history().promotions.back().server;
-        roles->behind = (roles->primary + behind) % pool.group().size();
-        roles->busy = (roles->primary + pool.group().size() - behind) % pool.group().size();
-        pool.note("replica behind server=" + std::to_string(roles->behind));
-        pool.group().setReplicationIsolated(roles->behind, true);
+    const std::size_t distance = 1 + random.below(2);
+    const auto roles = std::make_shared<FaultRoles>();
+    pool.at(start, [&pool, roles, distance] {
+        *roles = assignRoles(pool, distance);
+        setBehind(pool, *roles);
     });
     pool.at(crash, [&pool, roles, instance] {
         pool.note("crash server=" + std::to_string(roles->primary) + " instance=" + std::to_string(instance));
-        pool.group().setBusyStatuses(roles->busy, std::numeric_limits<std::uint32_t>::max());
+        pool.group().setBusyStatuses(roles->other, std::numeric_limits<std::uint32_t>::max());
         pool.killInstance(instance);
         pool.stopServer(roles->primary);
     });
     pool.at(restart, [&pool, instance] { pool.startInstance(instance); });
     pool.at(end, [&pool, roles] {
-        pool.group().setBusyStatuses(roles->busy, 0);
+        pool.group().setBusyStatuses(roles->other, 0);
         pool.group().setReplicationIsolated(roles->behind, false);
         pool.startServer(roles->primary);
     });
@@ -86,37 +99,22 @@
 /// receives nothing, and the primary crashes.
 void scheduleUnlistedReplica(VirtualPool &pool, SeededRandom &random)
 {
-    const auto draw = [&](std::uint64_t from, std::uint64_t below) {
-        return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
-    };
-    const Duration unlistedAt = draw(0, 6000);
-    const Duration behindAt = unlistedAt + draw(0, 3000);
-    const Duration crashAt = behindAt + draw(50, 3000);
-    const Duration listedAt = crashAt + draw(200, 4000);
-    const Duration end = listedAt + draw(200, 3000);
+    const Duration unlistedAt = drawDelay(random, 0, 6000);
+    const Duration behindAt = unlistedAt + drawDelay(random, 0, 3000);
+    const Duration crashAt = behindAt + drawDelay(random, 50, 3000);
+    const Duration listedAt = crashAt + drawDelay(random, 200, 4000);
+    const Duration end = listedAt + drawDelay(random, 200, 3000);
     const std::size_t instance = random.below(pool.instanceCount());
     const bool allRestart = random.below(2) == 0;
-    struct Roles
-    {
-        std::size_t primary = 0;
-        std::size_t behind = 0;
-        std::size_t unlisted = 0;
-    };
-    const auto roles = std::make_shared<Roles>();
-    const std::size_t behind = 1 + random.below(2);
-    pool.at(unlistedAt, [&pool, roles, behind, instance] {
-        const std::size_t size = pool.group().size();
-        roles->primary = pool.group().history().promotions.back().server;
-        roles->behind = (roles->primary + behind) % size;
-        roles->unlisted = (roles->primary + size - behind) % size;
-        pool.note("unlisted server=" + std::to_string(roles->unlisted) + " instance=" + std::to_string(instance));
-        pool.isolateInstanceFromServer(instance, roles->unlisted, true);
-        pool.setListed(roles->unlisted, false);
-    });
-    pool.at(behindAt, [&pool, roles] {
-        pool.note("replica behind server=" + std::to_string(roles->behind));
-        pool.group().setReplicationIsolated(roles->behind, true);
+    const auto roles = std::make_shared<FaultRoles>();
+    const std::size_t distance = 1 + random.below(2);
+    pool.at(unlistedAt, [&pool, roles, distance, instance] {
+        *roles = assignRoles(pool, distance);
+        pool.note("unlisted server=" + std::to_string(roles->other) + " instance=" + std::to_string(instance));
+        pool.isolateInstanceFromServer(instance, roles->other, true);
+        pool.setListed(roles->other, false);
     });
+    pool.at(behindAt, [&pool, roles] { setBehind(pool, *roles); });
     pool.at(crashAt, [&pool, roles, allRestart] {
         pool.note("crash server=" + std::to_string(roles->primary));
         pool.stopServer(roles->primary);
@@ -126,8 +124,8 @@
         }
     });
     pool.at(listedAt, [&pool, roles, instance] {
-        pool.isolateInstanceFromServer(instance, roles->unlisted, false);
-        pool.setListed(roles->unlisted, true);
+        pool.isolateInstanceFromServer(instance, roles->other, false);
+        pool.setListed(roles->other, true);
     });
     pool.at(end, [&pool, roles] {
         pool.group().setReplicationIsolated(roles->behind, false);
@@ -138,48 +136,35 @@
 /// A replica receives nothing. The primary is cut off and replaced, and its successor crashes before the cut ends.
 void scheduleReturningPrimary(VirtualPool &pool, SeededRandom &random)
 {
-    const auto draw = [&](std::uint64_t from, std::uint64_t below) {
-        return std::chrono::milliseconds(static_cast<std::int64_t>(from + random.below(below - from)));
-    };
-    const Duration behindAt = draw(0, 6000);
-    const Duration cutAt = behindAt + draw(50, 2000);
-    const Duration crashAt = cutAt + draw(1000, 3000);
-    const Duration cutEnd = crashAt + draw(0, 1500);
-    const Duration behindEnd = cutEnd + draw(500, 3000);
-    const Duration end = behindEnd + draw(0, 3000);
-    struct Roles
-    {
-        std::size_t primary = 0;
-        std::size_t behind = 0;
-        std::size_t successor = 0;
-    };
-    const auto roles = std::make_shared<Roles>();
-    const std::size_t behind = 1 + random.below(2);
+    const Duration behindAt = drawDelay(random, 0, 6000);
+    const Duration cutAt = behindAt + drawDelay(random, 50, 2000);
+    const Duration crashAt = cutAt + drawDelay(random, 1000, 3000);
+    const Duration cutEnd = crashAt + drawDelay(random, 0, 1500);
+    const Duration behindEnd = cutEnd + drawDelay(random, 500, 3000);
+    const Duration end = behindEnd + drawDelay(random, 0, 3000);
+    const auto roles = std::make_shared<FaultRoles>();
+    const std::size_t distance = 1 + random.below(2);
     const std::size_t reaching = random.below(pool.instanceCount());
     const auto setCut = [&pool, roles, reaching](bool cut) {
         pool.group().setReplicationIsolated(roles->primary, cut);
         for (std::size_t instance = 0; instance < pool.instanceCount(); ++instance)
             pool.isolateInstanceFromServer(instance, roles->primary, cut && instance != reaching);
     };
-    pool.at(behindAt, [&pool, roles, behind] {
-        const std::size_t size = pool.group().size();
-        roles->primary = pool.group().history().promotions.back().server;
-        roles->behind = (roles->primary + behind) % size;
-        roles->successor = (roles->primary + size - behind) % size;
-        pool.note("replica behind server=" + std::to_string(roles->behind));
-        pool.group().setReplicationIsolated(roles->behind, true);
+    pool.at(behindAt, [&pool, roles, distance] {
+        *roles = assignRoles(pool, distance);
+        setBehind(pool, *roles);
     });
     pool.at(cutAt, [&pool, roles, setCut] {
         pool.note("cut off server=" + std::to_string(roles->primary));
         setCut(true);
     });
     pool.at(crashAt, [&pool, roles] {
-        pool.note("crash server=" + std::to_string(roles->successor));
-        pool.stopServer(roles->successor);
+        pool.note("crash server=" + std::to_string(roles->other));
+        pool.stopServer(roles->other);
     });
     pool.at(cutEnd, [setCut] { setCut(false); });
     pool.at(behindEnd, [&pool, roles] { pool.group().setReplicationIsolated(roles->behind, false); });
-    pool.at(end, [&pool, roles] { pool.startServer(roles->successor); });
+    pool.at(end, [&pool, roles] { pool.startServer(roles->other); });
 }
 
 } // namespace
