--- a/src/pool/ratelimitsystem.cpp
+++ b/src/pool/ratelimitsystem.cpp
@@ -24,13 +24,26 @@
 /// Most operations of one request; more than an instance can run within the validity of a grant.
 constexpr std::uint32_t maxWanted = 100'000;
 
-std::optional<std::uint32_t> toCount(std::string_view text)
+template <typename Number>
+std::optional<Number> toNumber(std::string_view text)
 {
-    std::uint32_t count = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), count);
+    Number number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
     if (failure != std::errc{} || end != text.data() + text.size())
         return std::nullopt;
-    return count;
+    return number;
+}
+
+/// Two numbers with a space between them.
+template <typename Number>
+std::optional<std::pair<Number, Number>> toNumbers(std::string_view text)
+{
+    const std::size_t space = text.find(' ');
+    if (space == std::string_view::npos)
+        return std::nullopt;
+    const auto first = toNumber<Number>(text.substr(0, space));
+    const auto second = toNumber<Number>(text.substr(space + 1));
+    return first && second ? std::optional(std::pair(*first, *second)) : std::nullopt;
 }
 
 /// In place of a number of operations: the member is asked for the version of its view of the members.
@@ -41,19 +54,10 @@
 
 std::optional<StoreVersion> toVersion(std::string_view text)
 {
-    const auto toNumber = [](std::string_view digits) -> std::optional<std::uint64_t> {
-        std::uint64_t number = 0;
-        const auto [end, failure] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
-        return failure == std::errc{} && end == digits.data() + digits.size() ? std::optional(number) : std::nullopt;
-    };
-    const std::size_t space = text.find(' ');
-    if (space == std::string_view::npos)
-        return std::nullopt;
-    const auto era = toNumber(text.substr(0, space));
-    const auto revision = toNumber(text.substr(space + 1));
-    if (!era || !revision)
+    const auto numbers = toNumbers<std::uint64_t>(text);
+    if (!numbers)
         return std::nullopt;
-    return StoreVersion{.era = *era, .revision = *revision};
+    return StoreVersion{.era = numbers->first, .revision = numbers->second};
 }
 
 /// Answer of a member: the number of operations and the time after which to retry, in milliseconds.
@@ -66,14 +70,10 @@
 
 std::optional<RateGrant> toGrant(std::string_view text)
 {
-    const std::size_t space = text.find(' ');
-    if (space == std::string_view::npos)
-        return std::nullopt;
-    const auto granted = toCount(text.substr(0, space));
-    const auto retry = toCount(text.substr(space + 1));
-    if (!granted || !retry)
+    const auto numbers = toNumbers<std::uint32_t>(text);
+    if (!numbers)
         return std::nullopt;
-    return RateGrant{.granted = *granted, .retryAfter = std::chrono::milliseconds(*retry)};
+    return RateGrant{.granted = numbers->first, .retryAfter = std::chrono::milliseconds(numbers->second)};
 }
 
 } // namespace
@@ -265,7 +265,7 @@
                                                          + std::to_string(this->membersVersion.revision)}});
         return;
     }
-    const auto count = toCount(wanted);
+    const auto count = toNumber<std::uint32_t>(wanted);
     if (organisation.empty() || !count || this->world.role != FleetRole::Member) {
         const bool isInvalid = organisation.empty() || !count;
         this->world.emit(ReplyToCaller{
