--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -31,11 +31,6 @@
 /// Bits of an epoch below the era.
 constexpr unsigned epochBits = 32;
 
-std::string toText(LogPosition position)
-{
-    return std::to_string(position.term) + '.' + std::to_string(position.position);
-}
-
 bool hasReleased(const FleetView::Member &member, const ServiceRow &service, std::uint64_t epoch)
 {
     return member.record.hasReleased(service.name, epoch);
--- a/src/session/logposition.h
+++ b/src/session/logposition.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 
 namespace Jujubekeel {
 
@@ -15,4 +16,7 @@
     constexpr auto operator<=>(const LogPosition &) const = default;
 };
 
+/// "TERM.NUMBER", as in the statement protocol and in logs.
+[[nodiscard]] std::string toText(LogPosition position);
+
 } // namespace Jujubekeel
--- a/src/virtualpool/poolchecker.cpp
+++ b/src/virtualpool/poolchecker.cpp
@@ -116,9 +116,8 @@
         if (log.isLate(*found->second))
             violations.push_back("commit " + operation.commit + " of a replaced primary was acknowledged");
         if (group.settings().syncReplicas > 0 && !log.survives(*found->second))
-            violations.push_back("acknowledged commit " + operation.commit + " at "
-                                 + std::to_string(found->second->position.term) + '.'
-                                 + std::to_string(found->second->position.position) + " was lost by a promotion");
+            violations.push_back("acknowledged commit " + operation.commit + " at " + toText(found->second->position)
+                                 + " was lost by a promotion");
         if (log.survives(*found->second))
             acknowledged.push_back(
                 {.at = operation.endedAt, .position = found->second->position, .session = operation.session});
@@ -140,11 +139,9 @@
                     violations.push_back("read " + read + " of route " + operation.database + ", started at "
                                          + std::to_string(operation.startedAt.count()) + " us, ended at "
                                          + std::to_string(operation.endedAt.count()) + ", on a log that ends at "
-                                         + std::to_string(seen->second.term) + "."
-                                         + std::to_string(seen->second.position) + ", lacks commit "
-                                         + std::to_string(commit.position.term) + "."
-                                         + std::to_string(commit.position.position) + " acknowledged at "
-                                         + std::to_string(commit.at.count()) + (own ? " in its own session" : ""));
+                                         + toText(seen->second) + ", lacks commit " + toText(commit.position)
+                                         + " acknowledged at " + std::to_string(commit.at.count())
+                                         + (own ? " in its own session" : ""));
             }
         }
     }
