--- a/src/pool/poolcore.cpp
+++ b/src/pool/poolcore.cpp
@@ -234,16 +234,14 @@
 {
     this->world.now = now;
     this->directory.entryChanged(entry);
-    this->leadership.serversChanged();
-    this->group.update();
+    this->serversChanged();
 }
 
 void PoolCore::entryRemoved(TimePoint now, std::string_view id)
 {
     this->world.now = now;
     this->directory.entryRemoved(id);
-    this->leadership.serversChanged();
-    this->group.update();
+    this->serversChanged();
 }
 
 void PoolCore::entriesListed(TimePoint now, const std::vector<ServerEntry> &entries)
@@ -251,9 +249,14 @@
     this->world.now = now;
     this->directory.entriesListed(entries);
     this->registration.serversListed();
+    this->serversChanged();
+    this->updateRole();
+}
+
+void PoolCore::serversChanged()
+{
     this->leadership.serversChanged();
     this->group.update();
-    this->updateRole();
 }
 
 void PoolCore::fleetUpdated(TimePoint now, const FleetUpdate &update)
@@ -365,8 +368,7 @@
     }
     case TimerKind::ServerMissing:
         this->directory.checkMissing(ServerId::fromPacked(entry.subject));
-        this->leadership.serversChanged();
-        this->group.update();
+        this->serversChanged();
         return;
     case TimerKind::Leadership:
         this->leadership.check();
--- a/src/pool/poolcore.h
+++ b/src/pool/poolcore.h
@@ -117,6 +117,8 @@
     void handleStop();
     /// Registers this instance as a member if it may, and applies its role in the fleet.
     void updateRole();
+    /// Directory entries have changed.
+    void serversChanged();
     /// The members of the fleet or this instance's role may have changed.
     void fleetChanged();
     /// The store has returned from an older copy.
