Rate limits: a change that needs no confirmation no longer asks for one

isTakeOverPending stayed set from an earlier change whose wait was over, so that a later one, from which this member gains nothing, asked all others. Shares are raised as before: the property test gives the same figures.

--- a/src/ratelimit/rategrantor.cpp
+++ b/src/ratelimit/rategrantor.cpp
@@ -24,6 +24,7 @@
         this->options.isFirstStart && (!wasKnown || (this->isFleetStarting && now < this->stableAt));
     const bool hasAnyJoined = std::any_of(members.begin(), members.end(),
                                           [&](const RateMember &member) { return !former.contains(member.name); });
+    bool isWaiting = !wasMember || this->awaitsConfirmation(now);
     const TimePoint stable = isKnown ? now : now + this->options.stableAfter;
     const TimePoint takeOver = isKnown ? now : now + this->takeOverDelay();
     this->stableAt = std::max(this->stableAt, stable);
@@ -43,10 +44,10 @@
             bucket.takeOverAt = std::max(bucket.takeOverAt, takeOver);
         else if (isRaised)
             bucket.stableAt = stable;
-        this->isTakeOverPending = this->isTakeOverPending || bucket.takeOverAt > now;
+        isWaiting = isWaiting || bucket.takeOverAt > now;
         bucket.tokens = std::min(bucket.tokens, this->capacity(bucket));
     }
-    this->isTakeOverPending = this->isMember && !isKnown && (this->isTakeOverPending || !wasMember);
+    this->isTakeOverPending = this->isMember && !isKnown && isWaiting;
 }
 
 void RateGrantor::changeConfirmed(TimePoint now)
