Unlisted servers of services without a record are forgotten after a minute

Without synchronous replicas nothing removed them, so that the list grew with each server id that left for good and was walked through at each commit. New test; holders() of services with a record are as before.

--- a/src/leadership/groupsystem.cpp
+++ b/src/leadership/groupsystem.cpp
@@ -17,13 +17,16 @@
 
 void GroupSystem::update()
 {
-    if (this->registration.fleet().revision() == 0)
+    // Without a configuration it is not known which services have synchronous replicas.
+    if (this->registration.fleet().revision() == 0 || !this->world.routes)
         return;
     this->world.forEachDatabase([this](ServiceId, ServiceRow &service) {
-        if (this->world.syncReplicas(service.name) > 0)
+        if (this->world.syncReplicas(service.name) > 0) {
             this->updateService(service);
-        else
+        } else {
             this->dueSince.erase(service.name);
+            service.unlisted.forgetEnded(this->world.now);
+        }
     });
 }
 
--- a/src/pool/unlistedservers.cpp
+++ b/src/pool/unlistedservers.cpp
@@ -29,7 +29,7 @@
 void UnlistedServers::commitAcknowledged(TimePoint now)
 {
     for (auto &[server, row] : this->rows)
-        row.isCovered = row.isCovered || now - row.removedAt >= endedAfter;
+        row.isCovered = row.isCovered || hasEnded(row, now);
 }
 
 void UnlistedServers::recorded(const std::set<std::string> &servers, TimePoint now)
@@ -48,6 +48,16 @@
         row.isRecorded = false;
 }
 
+void UnlistedServers::forgetEnded(TimePoint now)
+{
+    std::erase_if(this->rows, [&](const auto &entry) { return hasEnded(entry.second, now); });
+}
+
+bool UnlistedServers::hasEnded(const Row &row, TimePoint now)
+{
+    return now - row.removedAt >= endedAfter;
+}
+
 std::set<std::string> UnlistedServers::holders() const
 {
     std::set<std::string> result;
--- a/src/pool/unlistedservers.h
+++ b/src/pool/unlistedservers.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <string_view>
 
 namespace Jujubekeel {
 
@@ -28,6 +27,9 @@
     void recorded(const std::set<std::string> &servers, TimePoint now);
     /// The GroupRecord may have lost servers.
     void recordLost();
+    /// Forgets servers that have ended, as no record is kept for the service. Commits of before it gets synchronous replicas
+    /// have no guarantee, and these servers receive no later ones.
+    void forgetEnded(TimePoint now);
 
     [[nodiscard]] bool empty() const { return this->rows.empty(); }
     /// Servers that are not covered.
@@ -43,6 +45,8 @@
         TimePoint removedAt{0};  ///< when its entry was removed, or when this instance heard of it
     };
 
+    [[nodiscard]] static bool hasEnded(const Row &row, TimePoint now);
+
     std::map<std::string, Row, std::less<>> rows; ///< by server
 };
 
--- a/tests/pool/unlistedserverstest.cpp
+++ b/tests/pool/unlistedserverstest.cpp
@@ -77,6 +77,21 @@
     EXPECT_EQ(servers.holders(), Names{});
 }
 
+// Guards against a list that grows for as long as servers of a service without a record come and go, and against one that
+// may still receive being forgotten.
+TEST(UnlistedServers, EndedServersOfAServiceWithoutARecordAreForgotten)
+{
+    UnlistedServers servers;
+    servers.removed("a", "a:1", false, false, start);
+    servers.removed("b", "b:1", false, false, start + seconds(30));
+    servers.forgetEnded(start + milliseconds(59'999));
+    EXPECT_EQ(servers.holders(), (Names{"a", "b"}));
+    servers.forgetEnded(start + seconds(60));
+    EXPECT_EQ(servers.holders(), Names{"b"});
+    servers.forgetEnded(start + seconds(90));
+    EXPECT_TRUE(servers.empty());
+}
+
 } // namespace
 
 } // namespace Jujubekeel
