--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -694,6 +694,14 @@
     }
 }
 
+/// Rules that a random run with a synchronous replica breaks.
+std::string brokenRules(std::uint64_t seed, const PoolFaultOptions &faults)
+{
+    VirtualPoolOptions options;
+    options.group.syncReplicas = 1;
+    return joined(runRandomFaults(seed, options, faults).violations);
+}
+
 class SynchronousFaults : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -701,35 +709,27 @@
 // Guards against overlapping faults losing a commit that a replica had received before it was acknowledged.
 TEST_P(SynchronousFaults, KeepTheGuarantees)
 {
-    VirtualPoolOptions options;
-    options.group.syncReplicas = 1;
-    EXPECT_EQ(joined(runRandomFaults(GetParam(), options).violations), "");
+    EXPECT_EQ(brokenRules(GetParam(), {}), "");
 }
 
 // Guards against a commit being lost with the memory of a restarted instance, beside other faults.
 TEST_P(SynchronousFaults, KeepCommitsOfRestartedInstances)
 {
-    VirtualPoolOptions options;
-    options.group.syncReplicas = 1;
-    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, {.crashWithRestart = true}).violations), "");
+    EXPECT_EQ(brokenRules(GetParam(), {.crashWithRestart = true}), "");
 }
 
 // Guards against a former primary being passed over although it alone holds what was acknowledged (review case 12), beside
 // other faults.
 TEST_P(SynchronousFaults, KeepCommitsOfReturningPrimaries)
 {
-    VirtualPoolOptions options;
-    options.group.syncReplicas = 1;
-    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, {.returningPrimary = true}).violations), "");
+    EXPECT_EQ(brokenRules(GetParam(), {.returningPrimary = true}), "");
 }
 
 // Guards against a replica that receives without a directory entry being counted as one that has ended (review case 11),
 // beside other faults.
 TEST_P(SynchronousFaults, KeepCommitsOfUnlistedReplicas)
 {
-    VirtualPoolOptions options;
-    options.group.syncReplicas = 1;
-    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, {.unlistedReplica = true}).violations), "");
+    EXPECT_EQ(brokenRules(GetParam(), {.unlistedReplica = true}), "");
 }
 
 class ForgottenServers : public testing::TestWithParam<std::uint64_t>
@@ -739,13 +739,9 @@
 // Guards against a server that nobody remembers after all instances have restarted.
 TEST_P(ForgottenServers, StillCount)
 {
-    VirtualPoolOptions options;
-    options.group.syncReplicas = 1;
-    const PoolFaultOptions faults{.restoredStore = true, .crashWithRestart = true};
-    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, faults).violations), "");
+    EXPECT_EQ(brokenRules(GetParam(), {.restoredStore = true, .crashWithRestart = true}), "");
 }
 
-// With 933818 a server that led without a record was promoted again and again.
 class ForgottenPrimaries : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -754,13 +750,11 @@
 // listed.
 TEST_P(ForgottenPrimaries, AreNotOverlooked)
 {
-    VirtualPoolOptions options;
-    options.group.syncReplicas = 1;
-    const PoolFaultOptions faults{.restoredStore = true, .returningPrimary = true};
-    EXPECT_EQ(joined(runRandomFaults(GetParam(), options, faults).violations), "");
+    EXPECT_EQ(brokenRules(GetParam(), {.restoredStore = true, .returningPrimary = true}), "");
 }
 
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenPrimaries, testing::Values<std::uint64_t>(950423));
+// With 933818 a server that led without a record was promoted again and again.
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenServers, testing::Values<std::uint64_t>(94000284, 94001363, 933818));
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousFaults, testing::Range<std::uint64_t>(1, 41));
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, SynchronousFaults,
