Choice of a primary: a server that is found to lead needs the answers of all, with synchronous replicas

Cause: if neither an old primary nor a candidate is recorded, a server that calls itself primary of the newest term that was answered counted as having taken over, and that was the proof: candidate-chosen showed records-0, taken-over, answered 1 of 3, while its successor was listed and silent.

Change: such a server is proved only if all candidates have answered and none is unlisted. Otherwise it is treated as one that leads without a record: compared, but not chosen. A recorded candidate counts as before. Without synchronous replicas nothing changes.

--- a/src/leadership/candidatechoice.cpp
+++ b/src/leadership/candidatechoice.cpp
@@ -7,21 +7,26 @@
 
 namespace {
 
-/// Calls itself primary of the newest term, without a record of its promotion. The platform does not promote the present
-/// primary again, so that its term would not rise. Its replicas receive what it holds, and one of them can be chosen.
-bool leadsWithoutRecord(const CandidateState &candidate)
+/// Calls itself primary of the newest term, without a record of its promotion, while a server that has not answered or is
+/// not listed may lead a newer one. The platform does not promote the present primary again, so that its term would not
+/// rise. Its replicas receive what it holds, and one of them can be chosen.
+bool leadsWithoutRecord(std::span<const CandidateState> candidates, const CandidateState &candidate,
+                        const CandidateConditions &conditions)
 {
-    return candidate.isStalePrimary && !candidate.isOutdated;
+    if (!candidate.isFound)
+        return candidate.isStalePrimary && !candidate.isOutdated;
+    const auto hasAnswered = [](const CandidateState &other) { return other.status.has_value(); };
+    return conditions.unlisted > 0 || !std::all_of(candidates.begin(), candidates.end(), hasAnswered);
 }
 
 /// Proof that \a candidate, which has answered, holds every acknowledged commit; None if there is none.
 ChoiceProof findProof(std::span<const CandidateState> candidates, const CandidateState &candidate,
                       const CandidateConditions &conditions)
 {
+    if (leadsWithoutRecord(candidates, candidate, conditions))
+        return ChoiceProof::None;
     if (candidate.hasTakenOver)
         return ChoiceProof::TakenOver;
-    if (leadsWithoutRecord(candidate))
-        return ChoiceProof::None;
     const LogPosition received = candidate.status->received;
     if (conditions.seenByAll && conditions.seen != LogPosition{} && received >= conditions.seen)
         return ChoiceProof::LogEnd;
@@ -54,8 +59,9 @@
 /// With synchronous replicas.
 CandidateChoice chooseSafeCandidate(std::span<const CandidateState> candidates, const CandidateConditions &conditions)
 {
-    const auto rank = [](const CandidateState &candidate) {
-        return std::tuple(candidate.hasTakenOver, !leadsWithoutRecord(candidate), candidate.status->received);
+    const auto rank = [&](const CandidateState &candidate) {
+        const bool isEligible = !leadsWithoutRecord(candidates, candidate, conditions);
+        return std::tuple(isEligible, candidate.hasTakenOver, candidate.status->received);
     };
     // A draining server may be the only one that holds all commits.
     for (const bool withDraining : {false, true}) {
--- a/src/leadership/candidatechoice.h
+++ b/src/leadership/candidatechoice.h
@@ -18,7 +18,9 @@
     std::optional<ReplicationStatus> status; ///< empty: it has not answered yet
     LogPosition applied;                     ///< highest position in any of its answers; it has received at least this
     bool hasTakenOver = false;               ///< promoted by an earlier holder, which did not record it
-    bool isStalePrimary = false;             ///< replaced earlier, and has not learned of that
+    /// hasTakenOver is concluded from the answers alone, as no record names the candidate or an old primary.
+    bool isFound = false;
+    bool isStalePrimary = false; ///< replaced earlier, and has not learned of that
     /// Follows an earlier term than the newest one that is known: it lacks what was committed since, and may hold commits
     /// that were rolled back elsewhere.
     bool isOutdated = false;
--- a/src/leadership/replacementsystem.cpp
+++ b/src/leadership/replacementsystem.cpp
@@ -562,6 +562,8 @@
         if (status != replacement.statuses.end() && !candidate.isRefused) {
             candidate.status = status->second;
             candidate.hasTakenOver = this->hasTakenOver(replacement, name);
+            candidate.isFound =
+                candidate.hasTakenOver && replacement.record.primary.empty() && name != replacement.record.candidate;
             candidate.isStalePrimary = this->isStalePrimary(replacement, name);
             candidate.isOutdated = !candidate.hasTakenOver && status->second.term < term;
         }
--- a/tests/leadership/candidatechoicetest.cpp
+++ b/tests/leadership/candidatechoicetest.cpp
@@ -144,6 +144,23 @@
     EXPECT_EQ(chosen({answered("a", 50), present}, conditions(1, milliseconds(0))), "a");
 }
 
+// Guards against a former primary that is taken for the present one because its successor does not answer, or is not listed.
+TEST(CandidateChoice, FoundPrimaryNeedsAllAnswers)
+{
+    CandidateState found = answered("p", 50);
+    found.hasTakenOver = true;
+    found.isFound = true;
+    CandidateConditions given = conditions(1, std::chrono::hours(1));
+    EXPECT_EQ(chosen({found, answered("a", 5)}, given), "p");
+    EXPECT_EQ(chosen({found, answered("a", 5), silent("c")}, given), "");
+    EXPECT_EQ(chosen({found, silent("c")}, given), "");
+    given.unlisted = 1;
+    EXPECT_EQ(chosen({found, answered("a", 5)}, given), "");
+    // A recorded candidate has taken over whoever answers.
+    found.isFound = false;
+    EXPECT_EQ(chosen({found, silent("c")}, given), "p");
+}
+
 // Guards against a choice that cannot be explained afterwards: the result names its proof.
 TEST(CandidateChoice, ResultNamesItsProof)
 {
--- a/tests/pool/replacementtest.cpp
+++ b/tests/pool/replacementtest.cpp
@@ -754,8 +754,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenPrimaries, testing::Values<std::uint64_t>(950423));
-// With 933818 a server that led without a record was promoted again and again.
-INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenServers, testing::Values<std::uint64_t>(94000284, 94001363, 933818));
+// With 933818 a server that led without a record was promoted again and again. With 1204787 a former primary was taken for the
+// present one by its own answer.
+INSTANTIATE_TEST_SUITE_P(RegressionSeeds, ForgottenServers,
+                         testing::Values<std::uint64_t>(94000284, 94001363, 933818, 1204787));
 INSTANTIATE_TEST_SUITE_P(Seeds, SynchronousFaults, testing::Range<std::uint64_t>(1, 41));
 INSTANTIATE_TEST_SUITE_P(RegressionSeeds, SynchronousFaults,
                          testing::Values<std::uint64_t>(10021, 10328, 10473, 10494, 10783, 10851));
