--- a/tests/pool/ratelimittest.cpp
+++ b/tests/pool/ratelimittest.cpp
@@ -335,6 +335,28 @@
 {
 };
 
+// Guards against a limit that refuses operations within it, or grants only a part of it, while no instance reaches the store.
+TEST(RateLimit, WholeRateIsGrantedWhileTheStoreIsAway)
+{
+    for (const double demand : {usual, 7 * usual}) {
+        SCOPED_TRACE(demand);
+        LimitedPool run;
+        run.offer("acme", demand * 40, seconds(6));
+        run.pool.run(seconds(1));
+        const TimePoint awaySince = run.pool.now();
+        run.pool.setStoreAvailable(false);
+        run.pool.run(milliseconds(4500));
+        const std::size_t ran = run.count("acme", awaySince, true);
+        run.pool.setStoreAvailable(true);
+        run.pool.run(seconds(3));
+        if (demand < 1) {
+            EXPECT_EQ(run.count("acme", TimePoint{0}, false), 0U);
+        } else {
+            EXPECT_GE(static_cast<double>(ran), 40 * 4.5 * 0.95);
+        }
+    }
+}
+
 /// Seven members, one of which joins after the others and takes the place of another one in granting operations of `acme`.
 struct JoiningMember
 {
